--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,11 @@
+export type {Context} from './context.js';
+export type * from './effect.js';
+export type * from './event.js';
+export {Kernel, createKernel, type KernelOptions} from './kernel.js';
+export {Plugin} from './plugin.js';
+export {createServiceKey, type ServiceKey} from './service-key.js';
+export * from './services/budgets.js';
+export * from './services/claims.js';
+export * from './services/configuration-view.js';
+export * from './services/membership.js';
+export * from './services/router.js';
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,21 @@
+export {
+	Clock,
+	ManualClock,
+	minute,
+	second,
+	createManualClock,
+	createSystemClock,
+	type Milliseconds,
+} from './clock.js';
+export {ErrorKind} from './error-kind.js';
+export {
+	errorAnswers,
+	GrpcStatus,
+	getErrorAnswer,
+	type ErrorAnswer,
+	type RetryAdvice,
+} from './error-table.js';
+export {toProblemLine, toProblems, type Problem} from './problem.js';
+export * from './schemas/names.js';
+export * from './schemas/configuration.js';
+export * from './schemas/settings.js';
