--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+export {
+	createPlatformClient,
+	PlatformClient,
+	type Closeable,
+	type PlatformClientOptions,
+} from './client.js';
+export type {ReadResult, StoredObject, WriteResult} from './results.js';
