Add the backend server stand-in

Cause: the data path needs servers with slots, shedding, drain, deadlines, cancellation and faults on command, and the record of what they ran. Before: none. No tests yet.

--- /dev/null
+++ b/packages/stand-ins/src/backend-control.ts
@@ -0,0 +1,111 @@
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import type {Endpoint} from '@parsleyvale/shared';
+import {z} from 'zod';
+import type {BackendCounts} from './backend-counts.js';
+import {backendFaultsSchema, type FaultSwitch} from './backend-faults.js';
+import type {ExecutionLog} from './execution-log.js';
+import {readChecked, sendJson} from './http-json.js';
+import {startListening, stopListening} from './http-listener.js';
+import {loadReportSettingsSchema, type LoadReport} from './load-report.js';
+
+const maximumBodyBytes = 65_536;
+const drainSchema = z.strictObject({draining: z.boolean()});
+
+/** What the control plane reads and sets. */
+export type ControlledServer = {
+	readonly log: ExecutionLog;
+	readonly counts: BackendCounts;
+	readonly faults: FaultSwitch;
+	readonly loadReport: LoadReport;
+	isDraining: boolean;
+};
+
+/** Commands to a backend server, on a port of their own. */
+export class BackendControl {
+	readonly #controlled: ControlledServer;
+	readonly #server: Server;
+	#endpoint: Endpoint = {address: '0.0.0.0', port: 0};
+
+	constructor(controlled: ControlledServer) {
+		this.#controlled = controlled;
+		this.#server = createServer((request, response) => {
+			void this.#serve(request, response);
+		});
+	}
+
+	get endpoint(): Endpoint {
+		return this.#endpoint;
+	}
+
+	async start(endpoint: Endpoint): Promise<void> {
+		this.#endpoint = await startListening(this.#server, endpoint);
+	}
+
+	async close(): Promise<void> {
+		await stopListening(this.#server);
+	}
+
+	async #serve(
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		try {
+			sendJson(response, 200, await this.#handle(request));
+		} catch (error) {
+			sendJson(response, 400, {message: String(error)});
+		}
+	}
+
+	async #handle(request: IncomingMessage): Promise<unknown> {
+		const controlled = this.#controlled;
+		switch (`${request.method} ${request.url}`) {
+			case 'GET /executions': {
+				return controlled.log.list();
+			}
+
+			case 'DELETE /executions': {
+				controlled.log.clear();
+				return {};
+			}
+
+			case 'GET /counts': {
+				return controlled.counts;
+			}
+
+			case 'PUT /faults': {
+				const faults = await readChecked(
+					request,
+					maximumBodyBytes,
+					backendFaultsSchema,
+				);
+				controlled.faults.set(faults);
+				return faults;
+			}
+
+			case 'PUT /drain': {
+				const drain = await readChecked(request, maximumBodyBytes, drainSchema);
+				controlled.isDraining = drain.draining;
+				return drain;
+			}
+
+			case 'PUT /load-report': {
+				const settings = await readChecked(
+					request,
+					maximumBodyBytes,
+					loadReportSettingsSchema,
+				);
+				controlled.loadReport.settings = settings;
+				return settings;
+			}
+
+			default: {
+				throw new Error('No such command');
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/backend-server.ts
@@ -0,0 +1,338 @@
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {
+	createSystemClock,
+	type Clock,
+	type Endpoint,
+	type Milliseconds,
+} from '@parsleyvale/shared';
+import {BackendControl} from './backend-control.js';
+import {createBackendCounts, type BackendCounts} from './backend-counts.js';
+import {runFaultyJob} from './backend-fault-answers.js';
+import {FaultSwitch, type BackendFaults} from './backend-faults.js';
+import {AbortReason, toAnswerHeaders, type BackendJob} from './backend-job.js';
+import {
+	ExecutionLog,
+	getHeader,
+	type ExecutionRecord,
+} from './execution-log.js';
+import {sendJson} from './http-json.js';
+import {startListening, stopListening} from './http-listener.js';
+import {LoadReport} from './load-report.js';
+import {ServiceSlots} from './service-slots.js';
+
+export type BackendServerOptions = Endpoint & {
+	readonly name: string;
+	readonly slots: number;
+	/** Most connections open at once. */
+	readonly connections: number;
+	/** Requests that wait for a slot before the server sheds. */
+	readonly queueLength: number;
+	readonly serviceTime: Milliseconds;
+	/** Processor time of a new connection. */
+	readonly connectCost: Milliseconds;
+	/** Processor time of a probe. */
+	readonly probeCost: Milliseconds;
+	/** How long after its start the server is slower than later. */
+	readonly coldSpan: Milliseconds;
+	/** How much slower it is at its start. */
+	readonly coldFactor: number;
+	/** Port of the control plane, on the same address. */
+	readonly controlPort: number;
+};
+
+const keepAliveTimeout: Milliseconds = 60_000;
+
+/** A backend server that records what it runs, with faults on command. */
+export class BackendServer {
+	readonly log: ExecutionLog;
+	readonly counts: BackendCounts = createBackendCounts();
+	readonly faults = new FaultSwitch();
+	readonly loadReport: LoadReport;
+	isDraining = false;
+
+	readonly #options: BackendServerOptions;
+	readonly #clock: Clock = createSystemClock();
+	readonly #startedAt: Milliseconds;
+	readonly #slots: ServiceSlots;
+	readonly #server: Server;
+	readonly #control: BackendControl;
+	#endpoint: Endpoint;
+
+	constructor(options: BackendServerOptions) {
+		this.#options = options;
+		this.#endpoint = options;
+		this.#startedAt = this.#clock.now();
+		this.log = new ExecutionLog();
+		this.loadReport = new LoadReport(this.#clock);
+		this.#slots = new ServiceSlots(options.slots, options.queueLength);
+		this.#control = new BackendControl(this);
+		this.#server = this.#createServer();
+	}
+
+	/** Where requests come. */
+	get endpoint(): Endpoint {
+		return this.#endpoint;
+	}
+
+	/** Where commands come. */
+	get controlEndpoint(): Endpoint {
+		return this.#control.endpoint;
+	}
+
+	async start(): Promise<void> {
+		const {address, controlPort} = this.#options;
+		this.#endpoint = await startListening(this.#server, this.#options);
+		await this.#control.start({address, port: controlPort});
+	}
+
+	async close(): Promise<void> {
+		await stopListening(this.#server);
+		await this.#control.close();
+	}
+
+	#createServer(): Server {
+		const server = createServer({
+			keepAliveTimeout,
+			requestTimeout: 0,
+			noDelay: true,
+		});
+		server.maxConnections = this.#options.connections;
+		server.on('connection', (socket) => {
+			this.#onConnection(socket);
+		});
+		server.on('request', (request, response) => {
+			void this.#serve(request, response, false);
+		});
+		server.on(
+			'checkContinue',
+			(request: IncomingMessage, response: ServerResponse) => {
+				void this.#serve(request, response, true);
+			},
+		);
+		return server;
+	}
+
+	#onConnection(socket: Socket): void {
+		const {counts} = this;
+		runBusily(this.#clock, this.#options.connectCost);
+		counts.connections += 1;
+		counts.openConnections += 1;
+		counts.maximumOpenConnections = Math.max(
+			counts.maximumOpenConnections,
+			counts.openConnections,
+		);
+		socket.once('close', () => {
+			counts.openConnections -= 1;
+		});
+	}
+
+	async #serve(
+		request: IncomingMessage,
+		response: ServerResponse,
+		expectsContinue: boolean,
+	): Promise<void> {
+		if (request.url === '/health') {
+			this.#answerProbe(response);
+			return;
+		}
+
+		if (request.url === '/load') {
+			sendJson(response, 200, this.#describeLoad());
+			return;
+		}
+
+		const faults = this.faults.take();
+		if (this.isDraining || faults.mode === 'refuse') {
+			this.counts.refusedInDrain += this.isDraining ? 1 : 0;
+			this.#refuse(request, response, 503);
+			return;
+		}
+
+		await this.#handle(request, response, {expectsContinue, faults});
+	}
+
+	async #handle(
+		request: IncomingMessage,
+		response: ServerResponse,
+		options: {expectsContinue: boolean; faults: BackendFaults},
+	): Promise<void> {
+		const abort = new AbortController();
+		const timer = startDeadline(request, abort, options.faults);
+		response.once('close', () => {
+			clearTimeout(timer);
+			if (!response.writableFinished) {
+				abort.abort(new AbortReason('cancelled'));
+			}
+		});
+
+		const claiming = this.#slots.claim(abort.signal);
+		this.#sampleLoad();
+		const slot = await claiming;
+		if (slot !== 'granted') {
+			this.counts[slot] += 1;
+			this.#sampleLoad();
+			this.#refuse(request, response, slot === 'shed' ? 503 : 504);
+			return;
+		}
+
+		if (options.expectsContinue) {
+			response.writeContinue();
+		}
+
+		await this.#run(request, response, abort.signal, options.faults);
+		this.#slots.release();
+		this.#sampleLoad();
+	}
+
+	async #run(
+		request: IncomingMessage,
+		response: ServerResponse,
+		signal: AbortSignal,
+		faults: BackendFaults,
+	): Promise<void> {
+		this.counts.begun += 1;
+		const record = this.log.begin(request);
+		const job: BackendJob = {
+			request,
+			response,
+			record,
+			server: this.#options.name,
+			serviceTime: this.#computeServiceTime(),
+			signal,
+			load: this.loadReport.load,
+		};
+		try {
+			await runFaultyJob(job, faults);
+			record.end(faults.mode === 'none' ? 'completed' : 'faulty');
+		} catch {
+			this.#onAborted(job);
+		}
+	}
+
+	#onAborted(job: BackendJob): void {
+		const {record, response, signal} = job;
+		const {reason} = signal as {reason: unknown};
+		const outcome =
+			reason instanceof AbortReason ? reason.outcome : 'cancelled';
+		this.counts.cancelled += outcome === 'cancelled' ? 1 : 0;
+		record.end(outcome);
+		if (response.headersSent || response.destroyed) {
+			response.destroy();
+		} else {
+			response.setHeaders(new Headers(toAnswerHeaders(job)));
+			sendJson(response, 504, {message: 'The deadline has passed'});
+		}
+	}
+
+	/** Answers that the server has not begun on the request. */
+	#refuse(
+		request: IncomingMessage,
+		response: ServerResponse,
+		status: number,
+	): void {
+		if (response.destroyed) {
+			return;
+		}
+
+		const requestId = getHeader(request, 'x-request-id');
+		response.setHeader('x-not-run', 'true');
+		response.setHeader('x-server', this.#options.name);
+		response.setHeader('x-load', String(this.loadReport.load));
+		if (requestId !== undefined) {
+			response.setHeader('x-request-id', requestId);
+		}
+
+		if (this.isDraining) {
+			response.setHeader('x-draining', 'true');
+		}
+
+		sendJson(response, status, {message: 'Not run'});
+	}
+
+	#answerProbe(response: ServerResponse): void {
+		this.counts.probes += 1;
+		runBusily(this.#clock, this.#options.probeCost);
+		const status = this.isDraining ? 503 : 200;
+		sendJson(response, status, {...this.#describeLoad(), status});
+	}
+
+	#describeLoad(): {name: string; inFlight: number; slots: number} {
+		const {name, slots} = this.#options;
+		return {name, inFlight: this.loadReport.load, slots};
+	}
+
+	#sampleLoad(): void {
+		const {inFlight} = this.#slots;
+		this.loadReport.sample(inFlight);
+		this.counts.maximumInFlight = Math.max(
+			this.counts.maximumInFlight,
+			inFlight,
+		);
+	}
+
+	#computeServiceTime(): Milliseconds {
+		const {serviceTime, coldSpan, coldFactor} = this.#options;
+		const age = this.#clock.now() - this.#startedAt;
+		const coldness = coldSpan === 0 ? 0 : Math.max(0, 1 - age / coldSpan);
+		return serviceTime * (1 + (coldFactor - 1) * coldness);
+	}
+}
+
+/**
+ * Starts a backend server.
+ *
+ * @example
+ * const server = await createBackendServer({
+ * 	name: 'tpe-a-1',
+ * 	address: '127.1.1.1',
+ * 	port: 0,
+ * });
+ * await server.close();
+ */
+export async function createBackendServer(
+	options: Endpoint & {readonly name: string} & Partial<BackendServerOptions>,
+): Promise<BackendServer> {
+	const slots = options.slots ?? 4;
+	const server = new BackendServer({
+		slots,
+		queueLength: slots,
+		connections: 330,
+		serviceTime: 5,
+		connectCost: 1,
+		probeCost: 1,
+		coldSpan: 0,
+		coldFactor: 4,
+		controlPort: 0,
+		...options,
+	});
+	await server.start();
+	return server;
+}
+
+function startDeadline(
+	request: IncomingMessage,
+	abort: AbortController,
+	faults: BackendFaults,
+): NodeJS.Timeout | undefined {
+	const remaining = Number(getHeader(request, 'x-deadline-ms'));
+	if (!Number.isFinite(remaining) || faults.mode !== 'none') {
+		return undefined;
+	}
+
+	return setTimeout(() => {
+		abort.abort(new AbortReason('deadline-exceeded'));
+	}, remaining);
+}
+
+function runBusily(clock: Clock, span: Milliseconds): void {
+	const end = clock.now() + span;
+	while (clock.now() < end) {
+		// Occupies the processor, as real work would.
+	}
+}
