--- /dev/null
+++ b/packages/configuration/src/configuration-plugin.ts
@@ -0,0 +1,239 @@
+import {
+	versionedConfigurationSchema,
+	type Milliseconds,
+	type VersionedConfiguration,
+} from '@parsleyvale/shared';
+import {
+	Plugin,
+	configurationKey,
+	type Context,
+	type HostsListed,
+	type Kernel,
+	type ObjectRead,
+} from '@parsleyvale/kernel';
+import {HostVersions, type VersionOfHost} from './host-versions.js';
+import {KeyFreshness} from './key-freshness.js';
+import {KeyWithdrawals, type WithdrawalProgress} from './key-withdrawals.js';
+import {LocalConfiguration} from './local-configuration.js';
+import {toRules, type ConfigurationOptions, type Rules} from './options.js';
+import {onPeerMessages} from './peer-messages.js';
+import {PeerSync} from './peer-sync.js';
+import {Proposals, configurationObject} from './proposals.js';
+import {Roster} from './roster.js';
+import {StoredWithdrawals, withdrawalsObject} from './stored-withdrawals.js';
+import {SyncTree} from './sync-tree.js';
+import {VersionsInForce} from './versions-in-force.js';
+import {WithdrawalSet} from './withdrawal-set.js';
+
+/** Catches up where a watch lags or has broken unseen. */
+const readInterval: Milliseconds = 5000;
+
+/** Keeps the configuration in force and judges keys. */
+export class ConfigurationPlugin extends Plugin {
+	readonly #rules: Rules;
+	readonly #versions: VersionsInForce;
+	readonly #withdrawals = new WithdrawalSet();
+	readonly #hostVersions = new HostVersions();
+	#local!: LocalConfiguration;
+	#roster!: Roster;
+	#tree!: SyncTree;
+	#freshness!: KeyFreshness;
+	#stored!: StoredWithdrawals;
+	#sync!: PeerSync;
+	#proposals!: Proposals;
+	#keyWithdrawals!: KeyWithdrawals;
+	#self = '';
+	#incarnation = '';
+	#isWatching = false;
+	#readAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	#readCount = 0;
+
+	constructor(options: ConfigurationOptions = {}) {
+		super();
+		this.#rules = toRules(options);
+		this.#versions = new VersionsInForce(this.#rules);
+	}
+
+	get name(): string {
+		return 'configuration';
+	}
+
+	/** The versions in force on all hosts, as far as this host has heard. */
+	listVersions(now: Milliseconds): VersionOfHost[] {
+		this.#hostVersions.set(this.#self, this.#versions.version, now);
+		return this.#hostVersions.list(now);
+	}
+
+	/** Withdrawals of keys that are not acknowledged yet. */
+	listWithdrawals(): WithdrawalProgress[] {
+		return this.#keyWithdrawals.list();
+	}
+
+	override isBusy(): boolean {
+		return this.#proposals.hasPending || this.#keyWithdrawals.hasPending;
+	}
+
+	install(kernel: Kernel): void {
+		this.#createParts(kernel);
+		this.#onStoreEvents(kernel);
+		kernel.on('hosts-listed', (event, {now}) => {
+			this.#onHostsListed(event, now);
+		});
+		kernel.on('configuration-proposed', (event, context) => {
+			this.#proposals.onProposed(event, context);
+		});
+		kernel.on('key-withdrawal-requested', (event, context) => {
+			this.#keyWithdrawals.onRequested(event, context);
+		});
+		kernel.on('stop-requested', () => {
+			this.#sync.stop();
+		});
+		kernel.on('tick', (_event, context) => {
+			this.#onTick(context);
+		});
+		onPeerMessages(kernel, {
+			sync: this.#sync,
+			keyWithdrawals: this.#keyWithdrawals,
+			versions: this.#versions,
+			onNewer: (candidate, context) => {
+				this.#apply(candidate, context);
+			},
+		});
+		kernel.provide(configurationKey, this.#local);
+	}
+
+	#createParts(kernel: Kernel): void {
+		const {self, random} = kernel;
+		const {name, incarnation} = self;
+		this.#self = name;
+		this.#incarnation = incarnation;
+		this.#roster = new Roster(name);
+		this.#tree = new SyncTree(self);
+		this.#freshness = new KeyFreshness(this.#rules, this.#roster);
+		const shared = {
+			self: {name, incarnation},
+			incarnation,
+			random,
+			rules: this.#rules,
+			versions: this.#versions,
+			withdrawals: this.#withdrawals,
+			hostVersions: this.#hostVersions,
+			roster: this.#roster,
+			freshness: this.#freshness,
+			tree: this.#tree,
+		};
+		this.#local = new LocalConfiguration(shared);
+		this.#stored = new StoredWithdrawals(shared);
+		this.#sync = new PeerSync(shared);
+		this.#proposals = new Proposals({
+			...shared,
+			onStored: (stored, context) => {
+				this.#applyStored(stored, context);
+			},
+		});
+		this.#keyWithdrawals = new KeyWithdrawals({
+			...shared,
+			local: this.#local,
+			stored: this.#stored,
+		});
+	}
+
+	#onStoreEvents(kernel: Kernel): void {
+		kernel.on('object-changed', ({object}, context) => {
+			if (object.name === configurationObject) {
+				this.#onValue(object.value, context);
+			}
+		});
+		kernel.on('object-read', (event, context) => {
+			this.#onRead(event, context);
+		});
+		kernel.on('object-written', (event, context) => {
+			this.#proposals.onWritten(event, context);
+			this.#stored.onWritten(event);
+		});
+	}
+
+	#onRead(event: ObjectRead, context: Context): void {
+		if (event.name === withdrawalsObject) {
+			this.#stored.onRead(event);
+			return;
+		}
+
+		if (event.name === configurationObject) {
+			if (event.result.kind === 'found') {
+				this.#onValue(event.result.object.value, context);
+			}
+
+			this.#proposals.onRead(event, context);
+		}
+	}
+
+	#onTick(context: Context): void {
+		this.#freshness.start(context.now);
+		this.#roster.clearForgotten(context.now);
+		if (this.#tree.isRoot) {
+			this.#watch(context);
+		}
+
+		this.#stored.onTick(this.#tree.isRoot, context);
+		this.#sync.onTick(context);
+		this.#proposals.onTick(context);
+		this.#keyWithdrawals.onTick(context);
+	}
+
+	#watch(context: Context): void {
+		if (!this.#isWatching) {
+			this.#isWatching = true;
+			context.emit({type: 'watch-object', name: configurationObject});
+		}
+
+		if (context.now - this.#readAt >= readInterval) {
+			this.#readAt = context.now;
+			context.emit({
+				type: 'read-object',
+				operationId: `configuration/${this.#incarnation}/${this.#readCount++}`,
+				name: configurationObject,
+			});
+		}
+	}
+
+	#onHostsListed(event: HostsListed, now: Milliseconds): void {
+		this.#tree.set(event.hosts);
+		for (const host of event.hosts) {
+			this.#roster.add(host.name, host.incarnation, now);
+		}
+	}
+
+	#onValue(value: unknown, context: Context): void {
+		const parsed = versionedConfigurationSchema.safeParse(value);
+		if (parsed.success) {
+			this.#apply(parsed.data, context);
+		}
+	}
+
+	/** This host's own write is told to peers at once, beside their watches. */
+	#applyStored(stored: VersionedConfiguration, context: Context): void {
+		const before = this.#versions.version;
+		if (this.#apply(stored, context)) {
+			this.#sync.sendToAll(before, context);
+		}
+	}
+
+	#apply(candidate: VersionedConfiguration, context: Context): boolean {
+		return this.#local.apply(candidate, context);
+	}
+}
+
+/**
+ * The plug-in that keeps the configuration in force and judges keys. Install
+ * it before those that need `configurationKey`.
+ *
+ * @example
+ * const configuration = createConfiguration();
+ * const kernel = createKernel({self, random}).use(configuration);
+ */
+export function createConfiguration(
+	options: ConfigurationOptions = {},
+): ConfigurationPlugin {
+	return new ConfigurationPlugin(options);
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,1 +1,15 @@
-export {};
+export {
+	compareConfigurations,
+	formatDifference,
+	type ConfigurationDifference,
+} from './compare-configurations.js';
+export {checkReferences} from './check-references.js';
+export {
+	ConfigurationPlugin,
+	createConfiguration,
+} from './configuration-plugin.js';
+export type {VersionOfHost} from './host-versions.js';
+export type {WithdrawalProgress} from './key-withdrawals.js';
+export {mergeFiles, type ConfigurationFile} from './merge-files.js';
+export type {ConfigurationOptions} from './options.js';
+export type {SectionName} from './sections.js';
--- /dev/null
+++ b/packages/configuration/src/sections.ts
@@ -0,0 +1,33 @@
+import type {Configuration} from '@parsleyvale/shared';
+
+/** A list of named objects in a configuration. */
+export type SectionName = keyof Configuration;
+
+/** @internal */
+export const sectionNames: readonly SectionName[] = [
+	'regions',
+	'links',
+	'pools',
+	'customers',
+	'keys',
+	'routes',
+	'shifts',
+	'drains',
+];
+
+/** @internal */
+export type NamedObject = {readonly name: string};
+
+/** @internal */
+export function createEmptyConfiguration(): Configuration {
+	return {
+		regions: [],
+		links: [],
+		pools: [],
+		customers: [],
+		keys: [],
+		routes: [],
+		shifts: [],
+		drains: [],
+	};
+}
