--- a/packages/stand-ins/src/object-store.ts
+++ b/packages/stand-ins/src/object-store.ts
@@ -8,6 +8,7 @@
 import {
 	createSystemClock,
 	entryHostSchema,
+	type Clock,
 	type Endpoint,
 	type Milliseconds,
 } from '@parsleyvale/shared';
@@ -42,6 +43,7 @@
 	readonly writesPerSecond: number;
 	readonly readsPerSecond: number;
 	readonly latency: Milliseconds;
+	readonly clock: Clock;
 };
 
 type Call<Kind extends CallKind> = Extract<ObjectStoreCall, {kind: Kind}>;
@@ -75,7 +77,7 @@
 	#endpoint: Endpoint;
 
 	constructor(options: ObjectStoreOptions) {
-		const clock = createSystemClock();
+		const {clock} = options;
 		this.#options = options;
 		this.#endpoint = options;
 		this.#writes = new CallRate(clock, options.writesPerSecond);
@@ -375,6 +377,7 @@
 		writesPerSecond: 300,
 		readsPerSecond: 2000,
 		latency: 2,
+		clock: createSystemClock(),
 		...options,
 	});
 	await store.start();
