--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {createClaims, type ClaimsOptions} from './claims-plugin.js';
+export {createRequests, type RequestsOptions} from './requests-plugin.js';
