Place requests by region, failure domain and server

The kernel had the Router interface and no plug-in behind it. Totals of room budgets follow from the configuration alone; a host's view of a server's health binds only its own share, so that no wrong view of one host lowers the room of all.

--- /dev/null
+++ b/packages/routing/__tests__/support/counting-budgets.ts
@@ -0,0 +1,150 @@
+import {
+	Budgets,
+	Plugin,
+	budgetsKey,
+	toLinkBudgetId,
+	toShiftBudgetId,
+	type BudgetSpec,
+	type Kernel,
+	type TakeResult,
+} from '@parsleyvale/kernel';
+import type {Configuration, Milliseconds} from '@parsleyvale/shared';
+
+type Bucket = {
+	spec: BudgetSpec;
+	tokens: number;
+	filledAt: Milliseconds;
+	inUse: number;
+};
+
+/** Budgets of a whole fleet in one place: what no host may exceed. */
+export class CountingBudgets extends Budgets {
+	readonly wanted: string[] = [];
+	readonly #buckets = new Map<string, Bucket>();
+
+	define(spec: BudgetSpec): void {
+		const bucket = this.#buckets.get(spec.id);
+		if (bucket === undefined) {
+			const tokens = spec.kind === 'rate' ? spec.burst : 0;
+			this.#buckets.set(spec.id, {spec, tokens, filledAt: 0, inUse: 0});
+		} else {
+			bucket.spec = spec;
+		}
+	}
+
+	remove(budgetId: string): void {
+		this.#buckets.delete(budgetId);
+	}
+
+	take(budgetId: string, amount: number, now: Milliseconds): TakeResult {
+		const bucket = this.#buckets.get(budgetId);
+		if (bucket === undefined) {
+			return 'unknown-budget';
+		}
+
+		if (amount > toSize(bucket.spec)) {
+			return 'too-large';
+		}
+
+		if (this.getAvailable(budgetId, now) < amount) {
+			return 'share-used-up';
+		}
+
+		bucket.tokens -= amount;
+		bucket.inUse += amount;
+		return 'taken';
+	}
+
+	giveBack(budgetId: string, amount: number): void {
+		const bucket = this.#buckets.get(budgetId);
+		if (bucket !== undefined) {
+			bucket.tokens += amount;
+			bucket.inUse -= amount;
+		}
+	}
+
+	want(budgetId: string): void {
+		this.wanted.push(budgetId);
+	}
+
+	getAvailable(budgetId: string, now: Milliseconds): number {
+		const bucket = this.#buckets.get(budgetId);
+		if (bucket === undefined) {
+			return 0;
+		}
+
+		const {spec} = bucket;
+		if (spec.kind === 'count') {
+			return Math.max(0, spec.total - bucket.inUse);
+		}
+
+		const passed = (now - bucket.filledAt) / 1000;
+		bucket.tokens = Math.min(
+			spec.burst,
+			bucket.tokens + passed * spec.perSecond,
+		);
+		bucket.filledAt = now;
+		return bucket.tokens;
+	}
+
+	getInUse(budgetId: string): number {
+		return this.#buckets.get(budgetId)?.inUse ?? 0;
+	}
+
+	getTotal(budgetId: string): number {
+		const spec = this.#buckets.get(budgetId)?.spec;
+		return spec === undefined ? 0 : toSize(spec);
+	}
+
+	/** Defines what the budgets plug-in takes from the configuration. */
+	defineConfigured(configuration: Configuration): void {
+		for (const shift of configuration.shifts) {
+			this.define({
+				kind: 'rate',
+				id: toShiftBudgetId(shift.name),
+				perSecond: shift.capPerSecond,
+				burst: shift.capBurst,
+			});
+		}
+
+		for (const link of configuration.links) {
+			const [one, other] = link.between;
+			for (const id of [
+				toLinkBudgetId(one, other),
+				toLinkBudgetId(other, one),
+			]) {
+				this.define({
+					kind: 'rate',
+					id,
+					perSecond: link.bytesPerSecond,
+					burst: link.bytesPerSecond,
+				});
+			}
+		}
+	}
+}
+
+/** Offers budgets to the plug-in under test. */
+export class CountingBudgetsPlugin extends Plugin {
+	readonly budgets: CountingBudgets;
+
+	constructor(budgets: CountingBudgets) {
+		super();
+		this.budgets = budgets;
+	}
+
+	get name(): string {
+		return 'counting-budgets';
+	}
+
+	install(kernel: Kernel): void {
+		kernel.provide(budgetsKey, this.budgets);
+		kernel.on('configuration-changed', (event) => {
+			this.budgets.defineConfigured(event.current.configuration);
+		});
+	}
+}
+
+function toSize(spec: BudgetSpec): number {
+	return spec.kind === 'count' ? spec.total : spec.burst;
+}
--- /dev/null
+++ b/packages/routing/src/holds.ts
@@ -0,0 +1,51 @@
+import type {Budgets, Context, TakeResult} from '@parsleyvale/kernel';
+import type {Milliseconds} from '@parsleyvale/shared';
+
+/** An amount of one budget. */
+export type BudgetAmount = {
+	readonly budgetId: string;
+	readonly amount: number;
+};
+
+export type TakeAllResult =
+	| {readonly kind: 'taken'}
+	| {
+			readonly kind: 'failed';
+			readonly missing: BudgetAmount;
+			readonly reason: Exclude<TakeResult, 'taken'>;
+	  };
+
+/** Takes all amounts or none, and asks other hosts for what is short. */
+export function takeAll(
+	budgets: Budgets,
+	amounts: readonly BudgetAmount[],
+	context: Context,
+): TakeAllResult {
+	const taken: BudgetAmount[] = [];
+	for (const wanted of amounts) {
+		const reason = budgets.take(wanted.budgetId, wanted.amount, context.now);
+		if (reason === 'taken') {
+			taken.push(wanted);
+			continue;
+		}
+
+		giveBackAll(budgets, taken, context.now);
+		if (reason === 'share-used-up') {
+			budgets.want(wanted.budgetId, wanted.amount, context);
+		}
+
+		return {kind: 'failed', missing: wanted, reason};
+	}
+
+	return {kind: 'taken'};
+}
+
+export function giveBackAll(
+	budgets: Budgets,
+	amounts: readonly BudgetAmount[],
+	now: Milliseconds,
+): void {
+	for (const {budgetId, amount} of amounts) {
+		budgets.giveBack(budgetId, amount, now);
+	}
+}
--- /dev/null
+++ b/packages/routing/src/rooms.ts
@@ -0,0 +1,93 @@
+import {toRoomBudgetId, type Budgets, type Context} from '@parsleyvale/kernel';
+import type {Milliseconds} from '@parsleyvale/shared';
+import type {PoolState} from './pool-state.js';
+import type {RegionServers} from './servers/region-servers.js';
+
+/** This host among the live ones, in the order of their names. */
+export type HostRank = {readonly index: number; readonly count: number};
+
+/**
+ * The room budgets. Their totals follow from the configuration and the ramps
+ * alone, so that hosts agree on them; what one host thinks of a server's
+ * health binds only its own share.
+ */
+export class Rooms {
+	readonly #budgets: Budgets;
+	readonly #defined = new Map<string, number>();
+
+	constructor(budgets: Budgets) {
+		this.#budgets = budgets;
+	}
+
+	/** Defines the budgets whose totals have changed. */
+	updateTotals(pools: Iterable<PoolState>, context: Context): void {
+		for (const pool of pools) {
+			for (const region of pool.regions.values()) {
+				this.#updateTotal(pool, region, context);
+			}
+		}
+	}
+
+	/** Removes the budgets of pools and regions that are gone. */
+	removeOthers(pools: Iterable<PoolState>, context: Context): void {
+		const ids = new Set(
+			[...pools].flatMap((pool) =>
+				[...pool.regions.values()].map((region) => toRoomId(region)),
+			),
+		);
+		for (const id of this.#defined.keys()) {
+			if (!ids.has(id)) {
+				this.#defined.delete(id);
+				this.#budgets.remove(id, context);
+			}
+		}
+	}
+
+	/**
+	 * Whether this host may use more of its share, given how many slots are on
+	 * servers that it has ejected. Rounding differs by the host's rank, so that
+	 * the hosts together come to the trusted part.
+	 */
+	hasTrustedRoom(
+		region: RegionServers,
+		rank: HostRank,
+		now: Milliseconds,
+	): boolean {
+		const trusted = region.computeTrustedPart(now);
+		if (trusted === 1) {
+			return true;
+		}
+
+		const available = this.#budgets.getAvailable(toRoomId(region), now);
+		const rounding = (rank.index + 0.5) / rank.count;
+		const limit = Math.floor(
+			(available + region.inFlight) * trusted + rounding,
+		);
+		return region.inFlight < limit;
+	}
+
+	#updateTotal(pool: PoolState, region: RegionServers, context: Context): void {
+		const id = toRoomId(region);
+		const total = region.computeRoom(pool.pool.headroom, context.now);
+		if (this.#defined.get(id) === total) {
+			return;
+		}
+
+		this.#defined.set(id, total);
+		this.#budgets.define(
+			{
+				kind: 'count',
+				id,
+				total,
+				longestHold: pool.longestDeadline,
+				// Hosts of every region send here when their own has no room.
+				region: undefined,
+			},
+			context,
+		);
+	}
+}
+
+export function toRoomId(region: RegionServers): string {
+	return toRoomBudgetId(region.pool, region.region);
+}
