Split the placer from the router; judge success rates and stalls

The placer now finds the place and the router learns from endings. Servers are also ejected by a success rate far below their region's, and one that has stopped answering gets nothing more while others move.

--- a/packages/routing/src/decaying-average.ts
+++ b/packages/routing/src/decaying-average.ts
@@ -34,6 +34,10 @@
 		return this.getSamples(now) === 0 ? undefined : this.#mean;
 	}
 
+	clear(): void {
+		this.#samples = 0;
+	}
+
 	/** How many samples the mean stands on. */
 	getSamples(now: Milliseconds): number {
 		return now - this.#lastAt > this.#lifetime ? 0 : this.#samples;
--- a/packages/routing/src/outcomes.ts
+++ b/packages/routing/src/outcomes.ts
@@ -59,6 +59,7 @@
 	now: Milliseconds,
 ): void {
 	const {state, region} = placement;
+	state.lastEndAt = now;
 	applyReport(placement, ending, now);
 	if (verdict.isNeutral) {
 		return;
@@ -78,6 +79,7 @@
 	if (verdict.isUnreachable) {
 		state.health.onFailure(now);
 	} else if (state.health.onAnswer()) {
+		state.successRate.clear();
 		state.slowStart.start(now);
 	}
 }
--- /dev/null
+++ b/packages/routing/src/placer.ts
@@ -0,0 +1,214 @@
+import {
+	toShiftBudgetId,
+	type Budgets,
+	type Context,
+	type RoutingRequest,
+} from '@parsleyvale/kernel';
+import {
+	ErrorKind,
+	type Milliseconds,
+	type RegionName,
+	type Shift,
+} from '@parsleyvale/shared';
+import type {Random} from './choosers/chooser.js';
+import {takeAll, type BudgetAmount} from './holds.js';
+import type {LinkBytes} from './link-bytes.js';
+import type {Placement} from './placement.js';
+import type {PoolState} from './pool-state.js';
+import {toRoomId, type HostRank, type Rooms} from './rooms.js';
+import type {RegionWay, RoutingTable} from './routing-table.js';
+import type {Safeguards} from './safeguards.js';
+import type {Shifts} from './shifts/shifts.js';
+import type {Place} from './topology.js';
+import {computeWait} from './waiting-cost.js';
+import type {Waiters} from './waiters.js';
+
+/** Why one region did not take a request. */
+type Obstacle = 'busy' | 'none' | 'too-far';
+
+/** One attempt that looks for a place. */
+export type Attempt = {
+	readonly request: RoutingRequest;
+	readonly pool: PoolState;
+	readonly context: Context;
+};
+
+export type PlacerOptions = {
+	readonly budgets: Budgets;
+	readonly table: RoutingTable;
+	readonly rooms: Rooms;
+	readonly shifts: Shifts;
+	readonly waiters: Waiters;
+	readonly links: LinkBytes;
+	readonly random: Random;
+	readonly safeguards: Safeguards;
+	readonly ownRegion: RegionName;
+};
+
+/** Finds the nearest region with room, and a backend server in it. */
+export class Placer {
+	/** This host among the live ones. */
+	rank: HostRank = {index: 0, count: 1};
+	readonly #options: PlacerOptions;
+
+	constructor(options: PlacerOptions) {
+		this.#options = options;
+	}
+
+	/** A place with its budgets taken, or why there is none. */
+	choosePlace(attempt: Attempt): Placement | ErrorKind {
+		const ways = this.#options.table.listWays(attempt.pool);
+		const home = ways[0];
+		if (home === undefined) {
+			return ErrorKind.NoServer;
+		}
+
+		return (
+			this.#placeByShift(attempt, ways, home) ??
+			this.#placeNearest(attempt, ways, home)
+		);
+	}
+
+	#placeByShift(
+		attempt: Attempt,
+		ways: readonly RegionWay[],
+		home: RegionWay,
+	): Placement | undefined {
+		const shift = this.#options.shifts.chooseShift(
+			attempt.pool.pool.name,
+			home.region.region,
+			this.#options.random,
+			attempt.context.now,
+		);
+		const way = ways.find(({region}) => region.region === shift?.to);
+		if (way === undefined) {
+			return undefined;
+		}
+
+		const placed = this.#placeInRegion(attempt, way, shift);
+		return typeof placed === 'string' ? undefined : placed;
+	}
+
+	#placeNearest(
+		attempt: Attempt,
+		ways: readonly RegionWay[],
+		home: RegionWay,
+	): Placement | ErrorKind {
+		const obstacles = new Set<Obstacle>();
+		for (const way of ways) {
+			if (obstacles.has('busy') && this.#isWaitCheaper(attempt, home, way)) {
+				break;
+			}
+
+			const placed = this.#placeInRegion(attempt, way, undefined);
+			if (typeof placed !== 'string') {
+				return placed;
+			}
+
+			obstacles.add(placed);
+		}
+
+		if (obstacles.has('busy')) {
+			return ErrorKind.NoRoom;
+		}
+
+		return obstacles.has('too-far')
+			? ErrorKind.DeadlineTooShort
+			: ErrorKind.NoServer;
+	}
+
+	#placeInRegion(
+		attempt: Attempt,
+		way: RegionWay,
+		shift: Shift | undefined,
+	): Placement | Obstacle {
+		const {request, context} = attempt;
+		if (isTooFar(request, way, context)) {
+			return 'too-far';
+		}
+
+		if (
+			!this.#options.rooms.hasTrustedRoom(way.region, this.rank, context.now)
+		) {
+			this.#options.budgets.want(toRoomId(way.region), 1, context);
+			return 'busy';
+		}
+
+		const found = way.region.chooseServer(request.avoid, context.now);
+		if (found.kind !== 'found') {
+			return found.kind;
+		}
+
+		const room = this.#options.safeguards.roomBudget
+			? [{budgetId: toRoomId(way.region), amount: 1}]
+			: [];
+		const rates = this.#listRates(request, way, shift);
+		const taken = takeAll(this.#options.budgets, [...room, ...rates], context);
+		if (taken.kind === 'failed') {
+			return 'busy';
+		}
+
+		this.#options.links.onTaken(rates);
+		return {
+			choice: {server: found.state.server, held: [...room, ...rates]},
+			request,
+			pool: attempt.pool,
+			region: way.region,
+			state: found.state,
+			roundTrip: this.#findRoundTrip(way, found.state.server),
+			shift,
+			room,
+			rates,
+			startedAt: context.now,
+		};
+	}
+
+	#findRoundTrip(way: RegionWay, server: Place): Milliseconds {
+		return (
+			this.#options.table.topology?.findRoundTrip(
+				this.#options.table.place,
+				server,
+			) ?? way.roundTrip
+		);
+	}
+
+	#listRates(
+		request: RoutingRequest,
+		way: RegionWay,
+		shift: Shift | undefined,
+	): BudgetAmount[] {
+		const bytes = this.#options.links.toAmounts(
+			this.#options.ownRegion,
+			way.region.region,
+			request.bodyBytes,
+		);
+		return shift !== undefined && this.#options.safeguards.shiftBudget
+			? [{budgetId: toShiftBudgetId(shift.name), amount: 1}, ...bytes]
+			: bytes;
+	}
+
+	/** Whether waiting for the nearest region costs less than the way on. */
+	#isWaitCheaper(attempt: Attempt, home: RegionWay, way: RegionWay): boolean {
+		const {request, pool, context} = attempt;
+		const wait = computeWait(
+			home.region,
+			this.#options.waiters.count(pool.pool.name),
+			context.now,
+		);
+		const waited = this.#options.waiters.getWaited(
+			request.requestId,
+			context.now,
+		);
+		return wait !== undefined && wait + waited < way.roundTrip - home.roundTrip;
+	}
+}
+
+/** Whether way and typical service time do not fit before the deadline. */
+function isTooFar(
+	request: RoutingRequest,
+	way: RegionWay,
+	context: Context,
+): boolean {
+	const serviceTime = way.region.serviceTime.get(context.now) ?? 0;
+	return context.now + way.roundTrip + serviceTime > request.deadline;
+}
--- a/packages/routing/src/routing-plugin.ts
+++ b/packages/routing/src/routing-plugin.ts
@@ -11,6 +11,8 @@
 import type {EntryHostName, ServerName} from '@parsleyvale/shared';
 import type {ChooserName} from './choosers/chooser.js';
 import {createChooser} from './choosers/create-chooser.js';
+import {LinkBytes} from './link-bytes.js';
+import {Placer} from './placer.js';
 import {RequestRouter} from './request-router.js';
 import {Rooms} from './rooms.js';
 import {RoutingTable} from './routing-table.js';
@@ -33,6 +35,7 @@
 	readonly rooms: Rooms;
 	readonly shifts: Shifts;
 	readonly waiters: Waiters;
+	readonly placer: Placer;
 	readonly router: RequestRouter;
 };
 
@@ -115,17 +118,18 @@
 	const rooms = new Rooms(budgets);
 	const shifts = new Shifts();
 	const waiters = new Waiters();
-	const router = new RequestRouter({
+	const shared = {
 		budgets,
 		table,
-		rooms,
 		shifts,
 		waiters,
-		random,
+		links: new LinkBytes(),
 		safeguards,
 		ownRegion: self.region,
-	});
-	return {hostName: self.name, table, rooms, shifts, waiters, router};
+	};
+	const placer = new Placer({...shared, rooms, random});
+	const router = new RequestRouter({...shared, placer});
+	return {hostName: self.name, table, rooms, shifts, waiters, placer, router};
 }
 
 function onConfigurationChanged(
@@ -159,7 +163,7 @@
 	const names = event.members.map((member) => member.name).toSorted();
 	const count = Math.max(1, names.length);
 	const index = Math.max(0, names.indexOf(parts.hostName));
-	parts.router.rank = {index, count};
+	parts.placer.rank = {index, count};
 	parts.table.setHostCount(count, context.now);
 }
 
--- a/packages/routing/src/servers/ejection.ts
+++ b/packages/routing/src/servers/ejection.ts
@@ -5,6 +5,11 @@
 /** The most of a region's slots whose servers may be ejected at once. */
 const maximumEjectedPart = 0.5;
 
+/** Fewer attempts than this make no success rate. */
+const samplesToJudge = 20;
+/** How far a server's success rate may lie below its region's. */
+const toleratedDifference = 0.3;
+
 export type EjectionVerdict = 'kept' | 'ejected' | 'refused' | 'all-suspect';
 
 /**
@@ -17,11 +22,14 @@
 	state: ServerState,
 	now: Milliseconds,
 ): EjectionVerdict {
-	if (!state.health.isFailing || state.health.getMode(now) === 'ejected') {
+	if (
+		!isFailing(region, state, now) ||
+		state.health.getMode(now) === 'ejected'
+	) {
 		return 'kept';
 	}
 
-	if (computeFailingPart(region) <= maximumEjectedPart) {
+	if (computeFailingPart(region, now) <= maximumEjectedPart) {
 		state.health.startEjection(now);
 		return 'ejected';
 	}
@@ -36,13 +44,33 @@
 	return ejected.length > 0 ? 'all-suspect' : 'refused';
 }
 
-function computeFailingPart(region: RegionServers): number {
+function computeFailingPart(region: RegionServers, now: Milliseconds): number {
 	let failing = 0;
 	let all = 0;
 	for (const state of region.usable) {
 		all += state.server.slots;
-		failing += state.health.isFailing ? state.server.slots : 0;
+		failing += isFailing(region, state, now) ? state.server.slots : 0;
 	}
 
 	return all === 0 ? 1 : failing / all;
 }
+
+/** By failures in a row, or by a success rate far below the region's. */
+function isFailing(
+	region: RegionServers,
+	state: ServerState,
+	now: Milliseconds,
+): boolean {
+	if (state.health.isFailing) {
+		return true;
+	}
+
+	const own = state.successRate.get(now);
+	const failures = region.failureRate.get(now);
+	return (
+		own !== undefined &&
+		failures !== undefined &&
+		state.successRate.getSamples(now) >= samplesToJudge &&
+		own < 1 - failures - toleratedDifference
+	);
+}
--- a/packages/routing/src/servers/region-servers.ts
+++ b/packages/routing/src/servers/region-servers.ts
@@ -15,6 +15,10 @@
 
 const averageLifetime: Milliseconds = 10 * second;
 
+/** A server without an end for so many service times has stalled. */
+const toleratedServiceTimes = 5;
+const shortestStall: Milliseconds = 100;
+
 /** Which entry host asks, and among how many. */
 export type Viewpoint = {
 	readonly hostName: string;
@@ -99,11 +103,16 @@
 			return {kind: 'busy'};
 		}
 
-		const nearest = this.#listNearest(this.#listSubset(open), now);
+		const moving = this.#listMoving(open, now);
+		const nearest = this.#listNearest(this.#listSubset(moving), now);
 		return {kind: 'found', state: this.#chooser.choose(nearest, now)};
 	}
 
-	onStarted(state: ServerState): void {
+	onStarted(state: ServerState, now: Milliseconds): void {
+		if (state.inFlight === 0) {
+			state.lastEndAt = now;
+		}
+
 		state.inFlight++;
 		this.inFlight++;
 	}
@@ -149,6 +158,19 @@
 		);
 	}
 
+	/** Those that answer, or all when none does: long requests look alike. */
+	#listMoving(
+		open: readonly ServerState[],
+		now: Milliseconds,
+	): readonly ServerState[] {
+		const tolerance = Math.max(
+			shortestStall,
+			toleratedServiceTimes * (this.serviceTime.get(now) ?? 0),
+		);
+		const moving = open.filter((state) => !state.isStalled(tolerance, now));
+		return moving.length > 0 ? moving : open;
+	}
+
 	/** The open servers of the subset; beyond it only when it has none. */
 	#listSubset(open: readonly ServerState[]): readonly ServerState[] {
 		const subset = new Set(this.#ranked.slice(0, this.#subsetSize));
--- a/packages/routing/src/servers/server-health.ts
+++ b/packages/routing/src/servers/server-health.ts
@@ -6,6 +6,8 @@
 const failuresToEject = 3;
 /** Answers in a row after which an ejected server is trusted again. */
 const answersToRecover = 2;
+/** Answers in a row after which earlier ejections are forgotten. */
+const answersToForget = 100;
 const shortestEjection: Milliseconds = second;
 const longestEjection: Milliseconds = minute;
 
@@ -69,9 +71,4 @@
 			this.#ejectedUntil = Math.min(this.#ejectedUntil, now);
 		}
 	}
-
-	/** Forgets earlier ejections after a long time of health. */
-	clearHistory(): void {
-		this.#ejections = 0;
-	}
 }
--- a/packages/routing/src/servers/server-state.ts
+++ b/packages/routing/src/servers/server-state.ts
@@ -14,6 +14,8 @@
 	isRemoved = false;
 	/** Requests of this host that run there. */
 	inFlight = 0;
+	/** When an attempt there last ended, or began with no other running. */
+	lastEndAt: Milliseconds = 0;
 	/** From sending to the first byte of the answer, without the way. */
 	readonly latency = new DecayingAverage(averageLifetime);
 	/** Part of the attempts that succeeded. */
@@ -46,6 +48,11 @@
 		return this.inFlight + this.reportedLoad.getOthers(now);
 	}
 
+	/** Whether attempts run there and none has ended for so long. */
+	isStalled(tolerance: Milliseconds, now: Milliseconds): boolean {
+		return this.inFlight > 0 && now - this.lastEndAt > tolerance;
+	}
+
 	/** The most that this host may have in flight there. */
 	getLimit(now: Milliseconds): number {
 		const slots = this.server.slots * this.slowStart.getWarmth(now);
