--- a/packages/routing/__tests__/support/routing-host.ts
+++ b/packages/routing/__tests__/support/routing-host.ts
@@ -48,13 +48,14 @@
 		options: RoutingOptions & {
 			readonly random?: () => number;
 			readonly budgets?: CountingBudgets;
+			readonly name?: string;
 		} = {},
 	) {
 		this.budgets = options.budgets ?? new CountingBudgets();
 		this.plugin = createRouting(options);
 		this.kernel = createKernel({
 			self: {
-				name: 'tpe-a-host',
+				name: options.name ?? 'tpe-a-host',
 				incarnation: '1',
 				region: 'tpe',
 				failureDomain: 'tpe-a',
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -18,7 +18,7 @@
 	readonly shift: Shift | undefined;
 	/** Comes back when the attempt ends. */
 	readonly room: readonly BudgetAmount[];
-	/** Comes back only when nothing was sent. */
+	/** Shift and link budgets; they stay taken. */
 	readonly rates: readonly BudgetAmount[];
 	startedAt: Milliseconds;
 };
--- a/packages/routing/src/request-router.ts
+++ b/packages/routing/src/request-router.ts
@@ -132,9 +132,8 @@
 		const {region, state, request} = placement;
 		region.onEnded(state);
 		giveBackAll(this.#options.budgets, placement.room, context.now);
-		if (ending.outcome === 'not-sent') {
+		if (!this.#options.safeguards.ratesStay && ending.outcome === 'not-sent') {
 			giveBackAll(this.#options.budgets, placement.rates, context.now);
-			return;
 		}
 
 		this.#options.links.onEnded(
--- a/packages/routing/src/safeguards.ts
+++ b/packages/routing/src/safeguards.ts
@@ -12,6 +12,11 @@
 	readonly ejection: boolean;
 	/** A moved request takes from the budget of its shift. */
 	readonly shiftBudget: boolean;
+	/**
+	 * A rate stays taken although nothing was sent: given back late, it would
+	 * allow a second burst beside the one that has refilled since.
+	 */
+	readonly ratesStay: boolean;
 	/** A second end of the same choice is ignored. */
 	readonly endOnce: boolean;
 	/** Retries take from the retry budget. */
@@ -26,6 +31,7 @@
 	drains: true,
 	ejection: true,
 	shiftBudget: true,
+	ratesStay: true,
 	endOnce: true,
 	retryBudget: true,
 	serverSlots: true,
