Hold budgets in escrow by leased root shares and loans between hosts

Root shares of a group live in one ledger object at the store, under a long lease and the short promises of a guarantor; slices of them are lent between hosts, debited before credited, in numbered items that are applied once. Every right is checked against the host's own clock when a token is taken.

--- /dev/null
+++ b/packages/budgets/__tests__/exactness.test.ts
@@ -0,0 +1,17 @@
+import {describe, it} from 'node:test';
+import * as fc from 'fast-check';
+import {session} from './commands.js';
+import {runSession} from './run-session.js';
+
+const runs = 60;
+
+describe('budgets under faults', () => {
+	for (const seed of [1, 2, 3]) {
+		it(`never exceed the one global bucket and count, seed ${seed}`, () => {
+			fc.assert(
+				fc.property(session, (each) => runSession(each) === undefined),
+				{seed, numRuns: runs},
+			);
+		});
+	}
+});
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -1,1 +1,70 @@
-export {};
+import {Plugin, budgetsKey, type Kernel} from '@parsleyvale/kernel';
+import type {Milliseconds} from '@parsleyvale/shared';
+import {EscrowedBudgets} from './escrow.js';
+import {allSafeguards, type Safeguards} from './safeguards.js';
+
+export type BudgetsOptions = {
+	/** @internal Tests switch off single safeguards. */
+	readonly safeguards?: Partial<Safeguards>;
+};
+
+class BudgetsPlugin extends Plugin {
+	readonly #safeguards: Safeguards;
+	#budgets: EscrowedBudgets | undefined;
+
+	constructor(safeguards: Safeguards) {
+		super();
+		this.#safeguards = safeguards;
+	}
+
+	get name(): string {
+		return 'budgets';
+	}
+
+	override isBusy(now: Milliseconds): boolean {
+		return this.#budgets?.isBusy(now) ?? false;
+	}
+
+	install(kernel: Kernel): void {
+		const budgets = new EscrowedBudgets(kernel, this.#safeguards);
+		this.#budgets = budgets;
+		kernel.provide(budgetsKey, budgets);
+		kernel.on('configuration-changed', ({current}, context) => {
+			budgets.onConfiguration(current.configuration, context);
+		});
+		kernel.on('members-changed', ({members}, {now}) => {
+			budgets.onMembers(members, now);
+		});
+		kernel.on('peer-message', (event, context) => {
+			budgets.onMessage(event, context);
+		});
+		kernel.on('object-read', (event, context) => {
+			budgets.onRead(event, context);
+		});
+		kernel.on('object-written', (event, context) => {
+			budgets.onWritten(event, context);
+		});
+		kernel.on('object-changed', ({object}, context) => {
+			budgets.onObject(object, context);
+		});
+		kernel.on('tick', (_event, context) => {
+			budgets.onTick(context);
+		});
+		kernel.on('stop-requested', (_event, {now}) => {
+			budgets.onStop(now);
+		});
+	}
+}
+
+/**
+ * Bounds on sums over all entry hosts, held in escrow. Installed before the
+ * plug-ins that take from them.
+ *
+ * @example
+ * const kernel = createKernel({self, random}).use(createBudgets());
+ * const budgets = kernel.inject(budgetsKey);
+ * budgets.take(toCustomerBudgetId('hanlin'), 1, clock.now()); // 'taken'
+ */
+export function createBudgets(options: BudgetsOptions = {}): Plugin {
+	return new BudgetsPlugin({...allSafeguards, ...options.safeguards});
+}
