Fuzz configuration and keys in four real kernels against an oracle

Change: a fleet of kernels in virtual time with clocks that differ, a store that is down, slow, stale or loses answers, also before it applies them, and a network that loses, repeats, delays and reorders. Found on the way, in the test: a host that was cut from the store answered a repeated operation store-unavailable; the table says 'may have run' for that kind, so the oracle takes it as open.

--- a/packages/client-blocks/__tests__/client-block-table.test.ts
+++ b/packages/client-blocks/__tests__/client-block-table.test.ts
@@ -42,7 +42,7 @@
 		return this.#sites.delete(prefix);
 	}
 
-	find(address: Bits): number | undefined {
+	findSite(address: Bits): number | undefined {
 		for (let length = address.length; length >= 0; length--) {
 			const site = this.#sites.get(address.slice(0, length));
 			if (site !== undefined) {
@@ -87,14 +87,14 @@
 
 						const address = toBlock(change.bits, bits).words;
 						expect(table.findByWords(address)).toEqual(
-							oracle.find(change.bits),
+							oracle.findSite(change.bits),
 						);
 					}
 
 					expect(table.size).toEqual(oracle.size);
 					for (const probe of probes) {
 						const address = toBlock(probe, bits).words;
-						expect(table.findByWords(address)).toEqual(oracle.find(probe));
+						expect(table.findByWords(address)).toEqual(oracle.findSite(probe));
 					}
 				},
 			);
--- a/packages/client-blocks/src/address.ts
+++ b/packages/client-blocks/src/address.ts
@@ -1,3 +1,4 @@
+/* eslint no-bitwise: "off" -- addresses are bits */
 import ipaddr from 'ipaddr.js';
 import {Result} from 'true-myth';
 
--- a/packages/client-blocks/src/block-family.ts
+++ b/packages/client-blocks/src/block-family.ts
@@ -1,3 +1,4 @@
+/* eslint no-bitwise: "off" -- addresses are bits */
 import {toWordMask, type AddressWords, type Block} from './address.js';
 import {BlockStore} from './block-store.js';
 
@@ -59,14 +60,14 @@
 	}
 
 	/** The site of the longest block that holds the address. */
-	find(address: AddressWords): number | undefined {
+	findSite(address: AddressWords): number | undefined {
 		const index = this.#toIndex(address);
 		for (let word = this.#wordCount - 1; word >= 0; word--) {
 			let lengths = this.#lengthsAt[index + word]! | this.#shortLengths[word]!;
 			while (lengths !== 0) {
 				// Bit 0 stands for the longest length of the word.
 				const bit = 31 - Math.clz32(lengths & -lengths);
-				const site = this.#findAt(address, (word + 1) * wordBits - bit);
+				const site = this.#findAtLength(address, (word + 1) * wordBits - bit);
 				if (site !== undefined) {
 					return site;
 				}
@@ -118,15 +119,15 @@
 		}
 	}
 
-	#findAt(address: AddressWords, length: number): number | undefined {
+	#findAtLength(address: AddressWords, length: number): number | undefined {
 		const probe = this.#probe;
 		for (let word = 0; word < this.#wordCount; word++) {
 			probe[word] = address[word]! & toWordMask(length, word);
 		}
 
-		const site = this.#store.find(probe, length);
+		const site = this.#store.findSite(probe, length);
 		return site === undefined && this.#old !== undefined
-			? this.#old.find(probe, length)
+			? this.#old.findSite(probe, length)
 			: site;
 	}
 
--- a/packages/client-blocks/src/block-store.ts
+++ b/packages/client-blocks/src/block-store.ts
@@ -1,3 +1,4 @@
+/* eslint no-bitwise: "off" -- addresses are bits */
 /** Slot states kept in the array of lengths; lengths are at most 128. */
 const emptySlot = 0;
 const movedSlot = 255;
@@ -13,15 +14,16 @@
  * @internal
  */
 export class BlockStore {
-	readonly capacity: number;
 	readonly #wordCount: number;
 	readonly #words: Uint32Array;
 	readonly #lengths: Uint8Array;
 	readonly #sites: Uint16Array;
 	#size = 0;
 
-	constructor(capacity: number, wordCount: number) {
-		this.capacity = capacity;
+	constructor(
+		readonly capacity: number,
+		wordCount: number,
+	) {
 		this.#wordCount = wordCount;
 		this.#words = new Uint32Array(capacity * wordCount);
 		this.#lengths = new Uint8Array(capacity);
@@ -39,7 +41,7 @@
 	}
 
 	/** The site of a block; undefined when the block is not here. */
-	find(words: Uint32Array, length: number): number | undefined {
+	findSite(words: Uint32Array, length: number): number | undefined {
 		const slot = this.#findSlot(words, length);
 		return slot === notFound ? undefined : this.#sites[slot];
 	}
--- a/packages/client-blocks/src/client-block-table.ts
+++ b/packages/client-blocks/src/client-block-table.ts
@@ -53,7 +53,7 @@
 
 	/** The same for an address that has been parsed. */
 	findByWords(address: AddressWords): number | undefined {
-		return this.#getFamily(address).find(address);
+		return this.#getFamily(address).findSite(address);
 	}
 
 	/**
--- /dev/null
+++ b/packages/configuration/__tests__/configuration-fuzz.test.ts
@@ -0,0 +1,25 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import type {Safeguards} from '../src/options.js';
+import {runSession, steps} from './session.js';
+
+const seed = 52_026;
+const runs = 60;
+
+function checkSessions(
+	safeguards: Partial<Safeguards>,
+	numRuns: number,
+): fc.RunDetails<unknown> {
+	const property = fc.property(steps, fc.nat(), (script, networkSeed) => {
+		runSession(script, networkSeed, safeguards);
+	});
+	return fc.check(property, {seed, numRuns, endOnFailure: true});
+}
+
+describe('configuration and keys under faults', () => {
+	it('never reverts, applies once, and accepts no key that was withdrawn', () => {
+		const result = checkSessions({}, runs);
+		expect(result.failed ? fc.defaultReportMessage(result) : '').toEqual('');
+	});
+});
--- /dev/null
+++ b/packages/configuration/__tests__/fleet.ts
@@ -0,0 +1,222 @@
+import {createHash} from 'node:crypto';
+import {
+	createKernel,
+	configurationKey,
+	type ConfigurationView,
+	type Effect,
+	type EffectOf,
+	type Kernel,
+	type KernelEvent,
+} from '@parsleyvale/kernel';
+import type {EntryHost} from '@parsleyvale/shared';
+import {createConfiguration, type ConfigurationPlugin} from '../src/index.js';
+import type {Safeguards} from '../src/options.js';
+import {FakeStore} from './fake-store.js';
+import {Schedule} from './schedule.js';
+
+const tickInterval = 100;
+const listInterval = 1000;
+
+export type Answer = EffectOf<'answer-operator'>;
+
+export function toHash(text: string): string {
+	return createHash('sha256').update(text).digest('hex');
+}
+
+export function createEntryHost(name: string, incarnation: number): EntryHost {
+	return {
+		name,
+		incarnation: `${name}-${incarnation}`,
+		region: 'tpe',
+		failureDomain: 'tpe-a',
+		callers: {address: '127.0.0.1', port: 1},
+		peers: {address: '127.0.0.1', port: 2},
+		leaving: false,
+	};
+}
+
+/** One process of an entry host: its real kernel under a clock of its own. */
+export class FleetHost {
+	readonly name: string;
+	readonly incarnation: string;
+	readonly plugin: ConfigurationPlugin;
+	readonly view: ConfigurationView;
+	readonly kernel: Kernel;
+	isAlive = true;
+	frozenUntil = 0;
+	readonly #clockOffset: number;
+
+	constructor(host: EntryHost, fleet: Fleet) {
+		this.name = host.name;
+		this.incarnation = host.incarnation;
+		this.#clockOffset = Math.floor(fleet.schedule.random() * 1e6);
+		this.plugin = createConfiguration({safeguards: fleet.safeguards});
+		this.kernel = createKernel({self: host, random: fleet.schedule.random});
+		this.kernel.use(this.plugin);
+		this.view = this.kernel.inject(configurationKey);
+	}
+
+	toLocal(now: number): number {
+		return now + this.#clockOffset;
+	}
+}
+
+/** Entry hosts, a store and a lossy network between them, in virtual time. */
+export class Fleet {
+	readonly schedule: Schedule;
+	readonly store: FakeStore;
+	readonly hosts: FleetHost[] = [];
+	readonly safeguards: Partial<Safeguards>;
+	readonly answers: Array<{answer: Answer; at: number}> = [];
+	readonly cutFromStore = new Set<string>();
+	/** Pairs of hosts that do not hear each other, such as 'a b'. */
+	readonly cutPairs = new Set<string>();
+	lossRate = 0;
+	slowestMessage = 20;
+	isListing = true;
+	/** Called after every event that a host took. */
+	onEvent: (host: FleetHost) => void = () => undefined;
+	readonly #starts = new Map<string, number>();
+
+	constructor(seed: number, safeguards: Partial<Safeguards> = {}) {
+		this.schedule = new Schedule(seed);
+		this.store = new FakeStore(this.schedule);
+		this.safeguards = safeguards;
+	}
+
+	start(name: string): void {
+		const old = this.hosts.findIndex((host) => host.name === name);
+		const count = (this.#starts.get(name) ?? 0) + 1;
+		this.#starts.set(name, count);
+		const host = new FleetHost(createEntryHost(name, count), this);
+		if (old === -1) {
+			this.hosts.push(host);
+		} else {
+			this.hosts[old]!.isAlive = false;
+			this.hosts[old] = host;
+		}
+
+		this.#tick(host);
+		this.#list(host);
+	}
+
+	getHost(index: number): FleetHost {
+		return this.hosts[index % this.hosts.length]!;
+	}
+
+	identify(host: FleetHost, hash: string): boolean {
+		return host.view.identify(hash, host.toLocal(this.schedule.now)).isOk;
+	}
+
+	freeze(host: FleetHost, span: number): void {
+		host.frozenUntil = this.schedule.now + span;
+	}
+
+	cut(a: string, b: string): void {
+		this.cutPairs.add(`${a} ${b}`).add(`${b} ${a}`);
+	}
+
+	heal(): void {
+		this.cutPairs.clear();
+		this.cutFromStore.clear();
+		this.store.mode = 'up';
+		this.lossRate = 0;
+		this.slowestMessage = 20;
+	}
+
+	/** Gives an event to a host; one that is frozen takes it when it wakes. */
+	deliver(host: FleetHost, event: KernelEvent): void {
+		const wait = host.frozenUntil - this.schedule.now;
+		if (wait > 0) {
+			this.schedule.add(wait, () => {
+				this.deliver(host, event);
+			});
+			return;
+		}
+
+		if (host.isAlive) {
+			this.onEvent(host);
+			const now = host.toLocal(this.schedule.now);
+			for (const effect of host.kernel.handle(event, now)) {
+				this.#perform(host, effect);
+			}
+
+			this.onEvent(host);
+		}
+	}
+
+	#perform(host: FleetHost, effect: Effect): void {
+		switch (effect.type) {
+			case 'send-peer': {
+				this.#send(host, effect);
+				break;
+			}
+
+			case 'read-object':
+			case 'write-object':
+			case 'watch-object': {
+				const isReachable = () => !this.cutFromStore.has(host.name);
+				this.store.handle(effect, isReachable, (event) => {
+					this.deliver(host, event);
+				});
+				break;
+			}
+
+			case 'answer-operator': {
+				this.answers.push({answer: effect, at: this.schedule.now});
+				break;
+			}
+
+			default:
+		}
+	}
+
+	#send(from: FleetHost, effect: EffectOf<'send-peer'>): void {
+		const {random} = this.schedule;
+		const payload = structuredClone(effect.payload);
+		const copies = random() < this.lossRate ? 2 : 1;
+		for (let copy = 0; copy < copies; copy++) {
+			if (random() < this.lossRate) {
+				continue;
+			}
+
+			this.schedule.add(1 + random() * this.slowestMessage, () => {
+				const isCut = this.cutPairs.has(`${from.name} ${effect.to}`);
+				const to = this.hosts.find(({name}) => name === effect.to);
+				if (to !== undefined && !isCut) {
+					const {name, incarnation} = from;
+					this.deliver(to, {
+						type: 'peer-message',
+						from: {name, incarnation},
+						topic: effect.topic,
+						payload,
+					});
+				}
+			});
+		}
+	}
+
+	#tick(host: FleetHost): void {
+		if (host.isAlive) {
+			this.deliver(host, {type: 'tick'});
+			this.schedule.add(tickInterval, () => {
+				this.#tick(host);
+			});
+		}
+	}
+
+	#list(host: FleetHost): void {
+		if (!host.isAlive) {
+			return;
+		}
+
+		if (this.isListing && this.store.mode !== 'down') {
+			const hosts = this.hosts.map(({kernel}) => kernel.self);
+			this.deliver(host, {type: 'hosts-listed', hosts});
+		}
+
+		this.schedule.add(listInterval, () => {
+			this.#list(host);
+		});
+	}
+}
--- a/packages/configuration/src/host-versions.ts
+++ b/packages/configuration/src/host-versions.ts
@@ -26,7 +26,7 @@
 		);
 	}
 
-	find(host: string): number | undefined {
+	findVersion(host: string): number | undefined {
 		return this.#entries.get(host)?.version;
 	}
 
--- a/packages/configuration/src/key-table.ts
+++ b/packages/configuration/src/key-table.ts
@@ -26,7 +26,7 @@
 		}
 	}
 
-	find(hash: string): Key | undefined {
+	findKey(hash: string): Key | undefined {
 		const digits = Buffer.from(hash);
 		const bucket = this.#buckets.get(hash.slice(0, bucketDigits)) ?? [];
 		return bucket.find(
--- a/packages/configuration/src/local-configuration.ts
+++ b/packages/configuration/src/local-configuration.ts
@@ -41,7 +41,7 @@
 			return Result.err(ErrorKind.NotConfigured);
 		}
 
-		const key = this.#keys.find(keyHash);
+		const key = this.#keys.findKey(keyHash);
 		if (key === undefined) {
 			return Result.err(ErrorKind.KeyUnknown);
 		}
--- a/packages/configuration/src/messages.ts
+++ b/packages/configuration/src/messages.ts
@@ -1,4 +1,3 @@
-import {versionedConfigurationSchema} from '@parsleyvale/shared';
 import {z} from 'zod';
 
 const hashSchema = z.string().regex(/^[\da-f]{64}$/);
@@ -77,7 +76,7 @@
 	confirm: 'configuration/confirm',
 } as const;
 
-export const wholeSchema = versionedConfigurationSchema;
+export {versionedConfigurationSchema as wholeSchema} from '@parsleyvale/shared';
 
 export type HostVersion = z.infer<typeof hostVersionSchema>;
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
--- a/packages/configuration/src/peer-sync.ts
+++ b/packages/configuration/src/peer-sync.ts
@@ -140,7 +140,7 @@
 	#chooseGiver(peers: readonly string[]): string | undefined {
 		const {versions, hostVersions, random} = this.#parts;
 		const newer = peers.filter(
-			(peer) => (hostVersions.find(peer) ?? 0) > versions.version,
+			(peer) => (hostVersions.findVersion(peer) ?? 0) > versions.version,
 		);
 		const candidates = newer.length > 0 ? newer : peers;
 		return candidates[Math.floor(random() * candidates.length)];
--- a/packages/configuration/src/proposals.ts
+++ b/packages/configuration/src/proposals.ts
@@ -214,8 +214,7 @@
 
 	#onUnknown(proposal: Proposal, context: Context): void {
 		if (!this.#parts.rules.safeguards.readBack) {
-			const error = ErrorKind.StoreUnavailable;
-			this.#finish(proposal, error, [], context);
+			this.#refuseVersion(proposal, ErrorKind.VersionConflict, context);
 			return;
 		}
 
--- a/packages/configuration/src/withdrawal-set.ts
+++ b/packages/configuration/src/withdrawal-set.ts
@@ -1,4 +1,5 @@
 const digestDigits = 16;
+const digestRange = 2n ** 64n;
 
 /**
  * The hashes of all withdrawn keys. It only grows. The digest of two sets is
@@ -29,7 +30,8 @@
 		}
 
 		this.#hashes.add(hash);
-		this.#digest ^= BigInt(`0x${hash.slice(0, digestDigits)}`);
+		const part = BigInt(`0x${hash.slice(0, digestDigits)}`);
+		this.#digest = (this.#digest + part) % digestRange;
 		return true;
 	}
 
--- a/packages/membership/src/heartbeats.ts
+++ b/packages/membership/src/heartbeats.ts
@@ -68,7 +68,7 @@
 
 		this.#sentAt = context.now;
 		const {table, self} = this.#parts;
-		table.allToAll = this.#isAllToAll;
+		table.setAllToAll(this.#isAllToAll);
 		this.#ring.set([
 			self.name,
 			...table.listLive(context.now).map(({host}) => host.name),
@@ -108,7 +108,7 @@
 
 	#addHost(host: EntryHost, now: Milliseconds): void {
 		const {table} = this.#parts;
-		const known = table.find(host.name);
+		const known = table.findMember(host.name);
 		const entry = table.add(host, now);
 		if (entry !== undefined && entry !== known && !this.#isAllToAll) {
 			this.#updates.add(this.#toUpdate(entry, 'live'));
@@ -122,12 +122,12 @@
 			return;
 		}
 
-		const before = table.find(update.name);
+		const before = table.findMember(update.name);
 		if (update.host !== undefined && this.#isNewer(before, update)) {
 			table.add(update.host, now);
 		}
 
-		const entry = table.find(update.name);
+		const entry = table.findMember(update.name);
 		if (
 			entry?.host.incarnation === update.incarnation &&
 			this.#applyUpdate(entry, update, now)
@@ -188,7 +188,7 @@
 		const {self, table} = this.#parts;
 		const watched = this.#ring.listPredecessors(self.name, monitorsPerHost);
 		for (const name of watched) {
-			const entry = table.find(name);
+			const entry = table.findMember(name);
 			if (entry !== undefined && this.#isSilent(entry, now)) {
 				entry.reporters.add(self.name);
 				this.#updates.add({
--- a/packages/membership/src/load-weight.ts
+++ b/packages/membership/src/load-weight.ts
@@ -1,5 +1,4 @@
-import type {Milliseconds} from '@parsleyvale/shared';
-import {second} from '@parsleyvale/shared';
+import {second, type Milliseconds} from '@parsleyvale/shared';
 
 const smallestWeight = 1 / 8;
 const largestWeight = 4;
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -52,11 +52,11 @@
 		return this.#entries.values();
 	}
 
-	set allToAll(isAllToAll: boolean) {
+	setAllToAll(isAllToAll: boolean): void {
 		this.#isAllToAll = isAllToAll;
 	}
 
-	find(name: string): MemberEntry | undefined {
+	findMember(name: string): MemberEntry | undefined {
 		return this.#entries.get(name);
 	}
 
--- a/packages/membership/src/membership-plugin.ts
+++ b/packages/membership/src/membership-plugin.ts
@@ -191,9 +191,8 @@
 
 	/** Drained and stopping hosts only when no other lives. */
 	#listCandidates(now: Milliseconds): LookUpHost[] {
-		const {name, incarnation} = this.#self;
 		const own = {
-			name,
+			name: this.#self.name,
 			weight: this.#load.weight,
 			host: this.#self,
 			isLeaving: this.#heartbeats.isLeaving,
@@ -210,10 +209,7 @@
 		const drained = this.#listDrained();
 		const staying = all.filter(({isLeaving}) => !isLeaving);
 		const usable = staying.filter((host) => !drained.has(host.name));
-		const [best] = [usable, staying, all].filter((list) => list.length > 0);
-		return (
-			best ?? [{name: `${name}/${incarnation}`, weight: 1, host: this.#self}]
-		);
+		return [usable, staying].find((list) => list.length > 0) ?? all;
 	}
 
 	#listDrained(): Set<string> {
