--- /dev/null
+++ b/packages/daemon/src/administration-server.ts
@@ -0,0 +1,266 @@
+import {Buffer} from 'node:buffer';
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+	ErrorKind,
+	configurationSchema,
+	getErrorAnswer,
+	toProblems,
+	type Endpoint,
+	type Problem,
+	type VersionedConfiguration,
+} from '@parsleyvale/shared';
+import type {KernelEvent} from '@parsleyvale/kernel';
+import type {Metrics} from './metrics.js';
+import type {OperatorAnswers, OperatorResult} from './operator-answers.js';
+
+const maximumBodyBytes = 16 * 1024 * 1024;
+
+export type AdministrationOptions = {
+	readonly endpoint: Endpoint;
+	/** SHA-256 of the operators' credential, in hexadecimal. */
+	readonly credentialHash: string;
+	readonly metrics: Metrics;
+	readonly answers: OperatorAnswers;
+	readonly onEvent: (event: KernelEvent) => void;
+	readonly isReady: () => boolean;
+	readonly getConfiguration: () => VersionedConfiguration;
+	readonly getStatus: () => unknown;
+};
+
+type Call = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly url: URL;
+};
+
+/** The HTTP API of the operators' tool; `docs/ADMINISTRATION.md` lists it. */
+export class AdministrationServer {
+	readonly #options: AdministrationOptions;
+	readonly #server: Server;
+
+	constructor(options: AdministrationOptions) {
+		this.#options = options;
+		this.#server = createServer((request, response) => {
+			void this.#serve(request, response);
+		});
+	}
+
+	/** Starts to listen and returns the port. */
+	async listen(): Promise<number> {
+		const {address, port} = this.#options.endpoint;
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, address, () => {
+				resolve((this.#server.address() as AddressInfo).port);
+			});
+		});
+	}
+
+	async close(): Promise<void> {
+		await new Promise<void>((resolve) => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeAllConnections();
+		});
+	}
+
+	async #serve(
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		const url = new URL(request.url ?? '/', 'http://administration');
+		const call: Call = {request, response, url};
+		try {
+			await (this.#isOpenPath(url)
+				? this.#serveOpen(call)
+				: this.#serveOperator(call));
+		} catch {
+			sendError(response, ErrorKind.Internal);
+		}
+	}
+
+	#isOpenPath(url: URL): boolean {
+		return ['/metrics', '/healthz', '/readyz'].includes(url.pathname);
+	}
+
+	async #serveOpen({response, url}: Call): Promise<void> {
+		const {metrics, isReady} = this.#options;
+		if (url.pathname === '/metrics') {
+			response.setHeader('content-type', metrics.contentType);
+			response.end(await metrics.format());
+			return;
+		}
+
+		const isGood = url.pathname === '/healthz' || isReady();
+		response.statusCode = isGood ? 200 : 503;
+		response.end(isGood ? 'ok\n' : 'not ready\n');
+	}
+
+	async #serveOperator(call: Call): Promise<void> {
+		const {request, response, url} = call;
+		if (!this.#isAuthorized(request)) {
+			sendError(response, ErrorKind.NotAuthorized);
+			return;
+		}
+
+		const withdrawal = /^\/keys\/([^/]+)\/withdraw$/.exec(url.pathname);
+		if (request.method === 'POST' && withdrawal !== null) {
+			await this.#withdraw(call, decodeURIComponent(withdrawal[1]!));
+			return;
+		}
+
+		switch (`${request.method} ${url.pathname}`) {
+			case 'GET /configuration': {
+				sendJson(response, 200, this.#options.getConfiguration());
+				break;
+			}
+
+			case 'GET /status': {
+				sendJson(response, 200, this.#options.getStatus());
+				break;
+			}
+
+			case 'PUT /configuration': {
+				await this.#propose(call);
+				break;
+			}
+
+			default: {
+				sendError(response, ErrorKind.NotFound);
+			}
+		}
+	}
+
+	#isAuthorized(request: IncomingMessage): boolean {
+		const [, credential = ''] = /^bearer +(.+)$/i.exec(
+			request.headers.authorization ?? '',
+		) ?? [''];
+		const found = createHash('sha256').update(credential).digest();
+		const wanted = Buffer.from(this.#options.credentialHash, 'hex');
+		return timingSafeEqual(found, wanted);
+	}
+
+	async #propose({request, response, url}: Call): Promise<void> {
+		const operationId = url.searchParams.get('operation') ?? '';
+		const expected = url.searchParams.get('expected') ?? '';
+		const problems = checkParameters(operationId, expected);
+		const parsed = configurationSchema.safeParse(await readJson(request));
+		if (!parsed.success) {
+			problems.push(...toProblems('(request)', parsed.error.issues));
+		}
+
+		if (problems.length > 0 || !parsed.success) {
+			sendError(response, ErrorKind.InvalidConfiguration, {problems});
+			return;
+		}
+
+		const answer = this.#options.answers.wait(operationId);
+		this.#options.onEvent({
+			type: 'configuration-proposed',
+			operationId,
+			expectedVersion: Number(expected),
+			configuration: parsed.data,
+		});
+		sendResult(response, await answer);
+	}
+
+	async #withdraw({response, url}: Call, keyName: string): Promise<void> {
+		const operationId = url.searchParams.get('operation') ?? '';
+		const problems = checkParameters(operationId, '0');
+		if (problems.length > 0) {
+			sendError(response, ErrorKind.InvalidConfiguration, {problems});
+			return;
+		}
+
+		const answer = this.#options.answers.wait(operationId);
+		this.#options.onEvent({
+			type: 'key-withdrawal-requested',
+			operationId,
+			keyName,
+		});
+		sendResult(response, await answer);
+	}
+}
+
+function checkParameters(operationId: string, expected: string): Problem[] {
+	const problems: Problem[] = [];
+	if (!/^[\w-]{8,64}$/.test(operationId)) {
+		problems.push({
+			file: '(request)',
+			field: 'operation',
+			message: 'give 8 to 64 letters, digits or dashes that name this change',
+		});
+	}
+
+	if (!/^\d+$/.test(expected)) {
+		problems.push({
+			file: '(request)',
+			field: 'expected',
+			message: 'give the version that the change was made from',
+		});
+	}
+
+	return problems;
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	for await (const chunk of request) {
+		size += (chunk as Buffer).length;
+		if (size > maximumBodyBytes) {
+			return undefined;
+		}
+
+		chunks.push(chunk as Buffer);
+	}
+
+	try {
+		return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+	} catch {
+		return undefined;
+	}
+}
+
+function sendResult(response: ServerResponse, result: OperatorResult): void {
+	if (result.kind === 'accepted') {
+		sendJson(response, 200, {version: result.version});
+		return;
+	}
+
+	const {error, version, problems} = result;
+	sendError(response, error, {version, problems});
+}
+
+function sendError(
+	response: ServerResponse,
+	kind: ErrorKind,
+	details: Record<string, unknown> = {},
+): void {
+	const {httpStatus, message} = getErrorAnswer(kind);
+	sendJson(response, httpStatus, {kind, message, ...details});
+}
+
+function sendJson(
+	response: ServerResponse,
+	status: number,
+	value: unknown,
+): void {
+	response.statusCode = status;
+	response.setHeader('content-type', 'application/json');
+	response.end(JSON.stringify(value));
+}
+
+export function createAdministrationServer(
+	options: AdministrationOptions,
+): AdministrationServer {
+	return new AdministrationServer(options);
+}
--- /dev/null
+++ b/packages/daemon/src/refusal.ts
@@ -0,0 +1,61 @@
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {
+	getErrorAnswer,
+	type ErrorKind,
+	type Milliseconds,
+	type RequestId,
+} from '@parsleyvale/shared';
+
+const millisecondsPerSecond = 1000;
+
+/** The body of every refusal; `docs/CALLERS.md` describes it. */
+export type RefusalBody = {
+	readonly kind: ErrorKind;
+	readonly notRun: boolean;
+	readonly retry: string;
+	readonly message: string;
+	readonly requestId: RequestId | undefined;
+};
+
+export function toRefusalBody(
+	kind: ErrorKind,
+	requestId: RequestId | undefined,
+): RefusalBody {
+	const {notRun, retry, message} = getErrorAnswer(kind);
+	return {kind, notRun, retry, message, requestId};
+}
+
+/** Answers with an error, or cuts an answer that has begun. */
+export function sendRefusal(
+	response: ServerResponse,
+	kind: ErrorKind,
+	options: {
+		readonly requestId?: RequestId;
+		readonly retryAfter?: Milliseconds;
+	} = {},
+): void {
+	if (response.headersSent) {
+		// A cut connection is the one sign of failure that is left.
+		response.destroy();
+		return;
+	}
+
+	const answer = getErrorAnswer(kind);
+	const retryAfter = options.retryAfter ?? answer.retryAfter;
+	const body = JSON.stringify(toRefusalBody(kind, options.requestId));
+	response.statusCode = answer.httpStatus;
+	response.setHeader('content-type', 'application/json');
+	response.setHeader('content-length', Buffer.byteLength(body));
+	response.setHeader('x-not-run', String(answer.notRun));
+	if (options.requestId !== undefined) {
+		response.setHeader('x-request-id', options.requestId);
+	}
+
+	if (retryAfter !== undefined) {
+		const seconds = Math.ceil(retryAfter / millisecondsPerSecond);
+		response.setHeader('retry-after', seconds);
+	}
+
+	response.end(body);
+}
--- a/packages/kernel/src/event.ts
+++ b/packages/kernel/src/event.ts
@@ -84,6 +84,9 @@
 /** The process has been told to stop gracefully. */
 export type StopRequested = {readonly type: 'stop-requested'};
 
+/** Look-up answers that named this host have run out: new requests end. */
+export type IntakeClosed = {readonly type: 'intake-closed'};
+
 /** Which process of an entry host speaks. */
 export type PeerIdentity = {
 	readonly name: string;
@@ -200,6 +203,7 @@
 	| LookUpArrived
 	| Tick
 	| StopRequested
+	| IntakeClosed
 	| PeerMessage
 	| PeerUnreachable
 	| ObjectRead
--- a/packages/requests/src/requests-plugin.ts
+++ b/packages/requests/src/requests-plugin.ts
@@ -68,7 +68,7 @@
 		kernel.on('tick', (_event, context) => {
 			life.onTick(context);
 		});
-		kernel.on('stop-requested', () => {
+		kernel.on('intake-closed', () => {
 			life.onStopRequested();
 		});
 	}
--- a/packages/shared/src/schemas/settings.ts
+++ b/packages/shared/src/schemas/settings.ts
@@ -22,6 +22,10 @@
 	administrationHash: z.string().regex(/^[\da-f]{64}$/),
 	/** The platform's object API. */
 	store: z.strictObject({url: z.url()}),
+	/** Other entry hosts to ask when the platform's list cannot be had. */
+	knownPeers: z
+		.array(z.strictObject({name: nameSchema, peers: endpointSchema}))
+		.default([]),
 	lookUpLifetimeMs: z.int().positive().default(2000),
 	stopTimeoutMs: z.int().positive().default(60_000),
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
