--- a/packages/acceptance/src/child.ts
+++ b/packages/acceptance/src/child.ts
@@ -61,7 +61,7 @@
 		throw new TypeError(`${program} ended before it listened.`);
 	}
 
-	return new Child(child, line as Line);
+	return new Child(child, line);
 }
 
 async function readJsonLine<Line>(
