--- a/packages/routing/__tests__/support/fleet-oracle.ts
+++ b/packages/routing/__tests__/support/fleet-oracle.ts
@@ -43,7 +43,7 @@
 			}
 
 			if (effect.message === 'Backend server ejected') {
-				this.#ejected.set(`${host} ${effect.fields['server']}`, now);
+				this.#ejected.set(`${host} ${effect.fields.server}`, now);
 			} else if (effect.message.startsWith('Too many backend servers')) {
 				this.#ejected.clear();
 			}
--- a/packages/routing/__tests__/support/fleet.ts
+++ b/packages/routing/__tests__/support/fleet.ts
@@ -108,7 +108,7 @@
 			at: this.#now,
 			shift: host.effects.some(
 				(effect) =>
-					effect.type === 'count' && effect.labels['outcome'] === 'shifted',
+					effect.type === 'count' && effect.labels.outcome === 'shifted',
 			),
 			isOver: false,
 			wasSent: true,
@@ -177,5 +177,5 @@
 
 function createRandom(seed: number): () => number {
 	const generator = prand.xoroshiro128plus(seed);
-	return () => (generator.unsafeNext() >>> 0) / 2 ** 32;
+	return () => generator.unsafeNext() / 2 ** 32 + 0.5;
 }
--- a/packages/routing/src/placer.ts
+++ b/packages/routing/src/placer.ts
@@ -23,6 +23,9 @@
 import {computeWait} from './waiting-cost.js';
 import type {Waiters} from './waiters.js';
 
+/** Asked for at once where a single slot would not be enough to be used. */
+const sharePerWant = 2;
+
 /** Why one region did not take a request. */
 type Obstacle = 'busy' | 'none' | 'too-far';
 
@@ -85,7 +88,7 @@
 			return undefined;
 		}
 
-		const placed = this.#placeInRegion(attempt, way, shift);
+		const placed = this.#placeElsewhere(attempt, way, shift);
 		return typeof placed === 'string' ? undefined : placed;
 	}
 
@@ -100,7 +103,10 @@
 				break;
 			}
 
-			const placed = this.#placeInRegion(attempt, way, undefined);
+			const placed =
+				way === home
+					? this.#placeInRegion(attempt, way, undefined)
+					: this.#placeElsewhere(attempt, way, undefined);
 			if (typeof placed !== 'string') {
 				return placed;
 			}
@@ -117,6 +123,22 @@
 			: ErrorKind.NoServer;
 	}
 
+	/** In a region that is not the nearest: its own requests go first. */
+	#placeElsewhere(
+		attempt: Attempt,
+		way: RegionWay,
+		shift: Shift | undefined,
+	): Placement | Obstacle {
+		const {rooms, budgets, safeguards} = this.#options;
+		const {now} = attempt.context;
+		if (!safeguards.reserve || rooms.hasRoomForOthers(way.region, now)) {
+			return this.#placeInRegion(attempt, way, shift);
+		}
+
+		budgets.want(toRoomId(way.region), sharePerWant, attempt.context);
+		return 'busy';
+	}
+
 	#placeInRegion(
 		attempt: Attempt,
 		way: RegionWay,
--- a/packages/routing/src/rooms.ts
+++ b/packages/routing/src/rooms.ts
@@ -3,6 +3,9 @@
 import type {PoolState} from './pool-state.js';
 import type {RegionServers} from './servers/region-servers.js';
 
+/** Part of a share that only requests of the region itself may fill. */
+const reservedPart = 0.2;
+
 /** This host among the live ones, in the order of their names. */
 export type HostRank = {readonly index: number; readonly count: number};
 
@@ -66,6 +69,17 @@
 		return region.inFlight < limit;
 	}
 
+	/**
+	 * Whether the region could take a request from elsewhere and still have
+	 * room for its own: such a request holds a slot for the way as well, so
+	 * that regions which fill each other to the brim slow each other down.
+	 */
+	hasRoomForOthers(region: RegionServers, now: Milliseconds): boolean {
+		const available = this.#budgets.getAvailable(toRoomId(region), now);
+		const share = available + region.inFlight;
+		return available - 1 >= share * reservedPart;
+	}
+
 	#updateTotal(pool: PoolState, region: RegionServers, context: Context): void {
 		const id = toRoomId(region);
 		const total = region.computeRoom(pool.pool.headroom, context.now);
--- a/packages/routing/src/routing-plugin.ts
+++ b/packages/routing/src/routing-plugin.ts
@@ -113,7 +113,12 @@
 		createChooser: () =>
 			createChooser(options.chooser ?? defaultChooser, random),
 		safeguards,
-		viewpoint: {hostName: self.name, place: self, hostCount: 1},
+		viewpoint: {
+			hostName: self.name,
+			place: self,
+			hostCount: 1,
+			neighbourCount: 1,
+		},
 	});
 	const rooms = new Rooms(budgets);
 	const shifts = new Shifts();
@@ -164,7 +169,13 @@
 	const count = Math.max(1, names.length);
 	const index = Math.max(0, names.indexOf(parts.hostName));
 	parts.placer.rank = {index, count};
-	parts.table.setHostCount(count, context.now);
+	const {place} = parts.table;
+	const neighbours = event.members.filter(
+		(member) =>
+			member.region === place.region &&
+			member.failureDomain === place.failureDomain,
+	);
+	parts.table.setHostCounts(count, Math.max(1, neighbours.length), context.now);
 }
 
 function onBudgetChanged(
--- a/packages/routing/src/routing-table.ts
+++ b/packages/routing/src/routing-table.ts
@@ -52,11 +52,14 @@
 		this.#updatePools(coldSince);
 	}
 
-	setHostCount(hostCount: number, now: Milliseconds): void {
-		if (hostCount !== this.#viewpoint.hostCount) {
-			this.#viewpoint = {...this.#viewpoint, hostCount};
-			this.#updatePools(now);
-		}
+	/** Puts the count of live hosts and of those in this failure domain in force. */
+	setHostCounts(
+		hostCount: number,
+		neighbourCount: number,
+		now: Milliseconds,
+	): void {
+		this.#viewpoint = {...this.#viewpoint, hostCount, neighbourCount};
+		this.#updatePools(now);
 	}
 
 	/** Servers that the platform lists as leaving, whatever the drains say. */
--- a/packages/routing/src/safeguards.ts
+++ b/packages/routing/src/safeguards.ts
@@ -6,6 +6,8 @@
 export type Safeguards = {
 	/** A request takes from the room budget of its region. */
 	readonly roomBudget: boolean;
+	/** Requests from elsewhere leave a part of a region's room free. */
+	readonly reserve: boolean;
 	/** Drained and leaving servers receive nothing new. */
 	readonly drains: boolean;
 	/** Ejected servers receive nothing new. */
@@ -28,6 +30,7 @@
 /** @internal */
 export const allSafeguards: Safeguards = {
 	roomBudget: true,
+	reserve: true,
 	drains: true,
 	ejection: true,
 	shiftBudget: true,
--- a/packages/routing/src/servers/region-servers.ts
+++ b/packages/routing/src/servers/region-servers.ts
@@ -24,6 +24,8 @@
 	readonly hostName: string;
 	readonly place: Place;
 	readonly hostCount: number;
+	/** Hosts in the failure domain of this one, itself included. */
+	readonly neighbourCount: number;
 };
 
 export type ServerChoice =
@@ -49,6 +51,7 @@
 	#ranked: ServerState[] = [];
 	#subsetSize = 0;
 	#place: Place | undefined;
+	#nearLimit = 0;
 
 	constructor(options: {
 		readonly pool: PoolName;
@@ -104,7 +107,7 @@
 		}
 
 		const moving = this.#listMoving(open, now);
-		const nearest = this.#listNearest(this.#listSubset(moving), now);
+		const nearest = this.#listNearest(this.#listSubset(moving));
 		return {kind: 'found', state: this.#chooser.choose(nearest, now)};
 	}
 
@@ -178,22 +181,25 @@
 		return inside.length > 0 ? inside : open.slice(0, 1);
 	}
 
-	/** Those of this host's failure domain, as long as they have a free slot. */
-	#listNearest(
-		open: readonly ServerState[],
-		now: Milliseconds,
-	): readonly ServerState[] {
-		const place = this.#place;
-		if (place?.region !== this.region) {
-			return open;
-		}
+	/**
+	 * Those of this host's failure domain, up to its part of their slots. Own
+	 * counts decide alone: a report that lags or lies must not send requests
+	 * the long way, where each holds its slot for longer.
+	 */
+	#listNearest(open: readonly ServerState[]): readonly ServerState[] {
+		const near = open.filter((state) => this.#isNear(state));
+		const own = this.#ranked
+			.filter((state) => this.#isNear(state))
+			.reduce((sum, state) => sum + state.inFlight, 0);
+		return near.length > 0 && own < this.#nearLimit ? near : open;
+	}
 
-		const near = open.filter(
-			(state) =>
-				state.server.failureDomain === place.failureDomain &&
-				state.getUtilization(now) < 1,
+	#isNear(state: ServerState): boolean {
+		const place = this.#place;
+		return (
+			place?.region === this.region &&
+			state.server.failureDomain === place.failureDomain
 		);
-		return near.length > 0 ? near : open;
 	}
 
 	#applyServer(
@@ -228,6 +234,10 @@
 			viewpoint.hostCount,
 			usable.map((state) => state.server),
 		);
+		this.#nearLimit = Math.ceil(
+			sumSlots(usable.filter((state) => this.#isNear(state))) /
+				viewpoint.neighbourCount,
+		);
 	}
 
 	#removeIdle(name: ServerName, state: ServerState): void {
