--- a/packages/requests/src/claim-entry.ts
+++ b/packages/requests/src/claim-entry.ts
@@ -29,6 +29,8 @@
 	/** Whether a write of the claim may be in force although nobody said so. */
 	mayBeWritten: boolean;
 	ending: ClaimEnding | undefined;
+	/** Whether the object, at its version, is this host's to remove one day. */
+	isOwned: boolean;
 };
 
 /** A claim that is wanted and not yet asked for. */
@@ -49,5 +51,6 @@
 		calledAt: now,
 		mayBeWritten: false,
 		ending: undefined,
+		isOwned: false,
 	};
 }
--- a/packages/requests/src/live-request.ts
+++ b/packages/requests/src/live-request.ts
@@ -1,5 +1,5 @@
 import type {Choice, Claim, RequestArrived} from '@parsleyvale/kernel';
-import type {Milliseconds, Route} from '@parsleyvale/shared';
+import {ErrorKind, type Milliseconds, type Route} from '@parsleyvale/shared';
 
 /** What a request waits for. */
 export type Stage = 'rate' | 'claim' | 'place' | 'attempt';
@@ -49,3 +49,15 @@
 		shareDeadline: 0,
 	};
 }
+
+const kindsOfWaiting: Readonly<Record<Stage, ErrorKind>> = {
+	rate: ErrorKind.ShareUnavailable,
+	claim: ErrorKind.ClaimUnavailable,
+	place: ErrorKind.NoRoom,
+	attempt: ErrorKind.DeadlineExceeded,
+};
+
+/** The error of a request whose deadline passes in this stage. */
+export function toKindOfWaiting(stage: Stage): ErrorKind {
+	return kindsOfWaiting[stage];
+}
--- a/packages/requests/src/request-life.ts
+++ b/packages/requests/src/request-life.ts
@@ -2,7 +2,6 @@
 	AttemptEnded,
 	AttemptStarted,
 	Budgets,
-	Choice,
 	Claims,
 	ConfigurationView,
 	Context,
@@ -13,7 +12,6 @@
 import {
 	ErrorKind,
 	type Configuration,
-	type Milliseconds,
 	type RequestId,
 } from '@parsleyvale/shared';
 import {
@@ -25,12 +23,12 @@
 import {CancelledAttempts} from './cancelled-attempts.js';
 import {ClaimStep} from './claim-step.js';
 import {CustomerTable} from './customer-table.js';
+import {EndReport} from './end-report.js';
 import {maximumAttempts} from './limits.js';
-import type {LiveRequest, Stage} from './live-request.js';
-import {PlaceQueue, type Turn} from './place-queue.js';
+import {toKindOfWaiting, type LiveRequest} from './live-request.js';
+import {PlaceStep} from './place-step.js';
 import {RateAdmission} from './rate-admission.js';
-import {checkArrival, identifyCustomer} from './request-checks.js';
-import {RequestMetrics} from './request-metrics.js';
+import {checkArrival} from './request-checks.js';
 import {RouteTable} from './route-table.js';
 import type {Safeguards} from './safeguards.js';
 
@@ -42,21 +40,13 @@
 	readonly safeguards: Safeguards;
 };
 
-/** Kinds of a request whose deadline passes before it was ever sent. */
-const kindsOfWaiting: Readonly<Record<Stage, ErrorKind>> = {
-	rate: ErrorKind.ShareUnavailable,
-	claim: ErrorKind.ClaimUnavailable,
-	place: ErrorKind.NoRoom,
-	attempt: ErrorKind.DeadlineExceeded,
-};
-
 /** Takes each request through rate, claim, place and attempts to its one end. */
 export class RequestLife {
 	readonly #requests = new Map<RequestId, LiveRequest>();
 	readonly #options: RequestLifeOptions;
 	readonly #customers = new CustomerTable();
-	readonly #metrics = new RequestMetrics();
-	readonly #queue = new PlaceQueue(this.#customers);
+	readonly #report = new EndReport();
+	readonly #place: PlaceStep;
 	readonly #cancelled: CancelledAttempts;
 	readonly #rate: RateAdmission;
 	readonly #claim: ClaimStep;
@@ -73,6 +63,13 @@
 				this.#onAdmitted(request, refusal, context);
 			},
 		);
+		this.#place = new PlaceStep({
+			...options,
+			customers: this.#customers,
+			onRefused: (request, refusal, context) => {
+				this.#end(request, refusal, context);
+			},
+		});
 		this.#claim = new ClaimStep(
 			options.claims,
 			options.safeguards,
@@ -90,7 +87,7 @@
 	onConfigurationChanged(configuration: Configuration): void {
 		this.#routes = new RouteTable(configuration);
 		this.#customers.apply(configuration);
-		this.#metrics.apply(configuration);
+		this.#report.apply(configuration);
 	}
 
 	onArrived(arrival: RequestArrived, context: Context): void {
@@ -99,7 +96,7 @@
 		}
 
 		if (this.#isStopping) {
-			this.#refuseAtOnce(arrival, ErrorKind.Stopping, context);
+			this.#report.refuse(arrival, this.#routes, ErrorKind.Stopping, context);
 			return;
 		}
 
@@ -111,7 +108,7 @@
 			context.now,
 		);
 		if (checked.isErr) {
-			this.#refuseAtOnce(arrival, checked.error, context);
+			this.#report.refuse(arrival, this.#routes, checked.error, context);
 			return;
 		}
 
@@ -141,7 +138,7 @@
 		}
 
 		this.#endOrRetry(request, event, context);
-		this.#serve(request.route.pool, context);
+		this.#place.serve(request.route.pool, context);
 	}
 
 	onCancelled(event: RequestCancelled, context: Context): void {
@@ -156,21 +153,19 @@
 	}
 
 	onRoomChanged(pool: string, context: Context): void {
-		this.#serve(pool, context);
+		this.#place.serve(pool, context);
 	}
 
 	onTick(context: Context): void {
 		for (const request of this.#requests.values()) {
 			if (request.deadline <= context.now) {
-				this.#end(request, kindsOfWaiting[request.stage], context);
+				this.#end(request, toKindOfWaiting(request.stage), context);
 			}
 		}
 
 		this.#rate.refuseLate(context);
 		this.#cancelled.endLate(context);
-		this.#queue.serveAll(context, (request) =>
-			this.#takeTurn(request, context),
-		);
+		this.#place.serveAll(context);
 	}
 
 	onStopRequested(): void {
@@ -207,102 +202,13 @@
 		}
 
 		if (refusal === undefined) {
-			this.#place(request, context);
+			this.#place.take(request, context);
 			return;
 		}
 
 		this.#end(request, refusal, context);
 	}
 
-	/** Tries for a place, unless others wait for one already. */
-	#place(request: LiveRequest, context: Context): void {
-		request.stage = 'place';
-		const {pool} = request.route;
-		const isKept =
-			this.#options.safeguards.keepsTurn && this.#queue.isWaiting(pool);
-		if (!isKept && this.#takeTurn(request, context) === 'served') {
-			return;
-		}
-
-		const refused = this.#queue.add(request);
-		if (refused !== undefined) {
-			this.#end(refused, ErrorKind.NoRoom, context);
-		}
-	}
-
-	#serve(pool: string, context: Context): void {
-		this.#queue.serve(pool, context, (request) =>
-			this.#takeTurn(request, context),
-		);
-	}
-
-	#takeTurn(request: LiveRequest, context: Context): Turn {
-		const refusal = this.#checkAgain(request, context.now);
-		if (refusal !== undefined) {
-			this.#end(request, refusal, context);
-			return 'served';
-		}
-
-		const chosen = this.#options.router.choose(
-			{
-				requestId: request.arrival.requestId,
-				route: request.route,
-				customer: request.customer,
-				bodyBytes: request.arrival.bodyBytes,
-				deadline: request.deadline,
-				avoid: request.avoid,
-			},
-			context,
-		);
-		if (chosen.isOk) {
-			this.#forward(request, chosen.value, context);
-			return 'served';
-		}
-
-		if (chosen.error === ErrorKind.NoRoom) {
-			return 'no-room';
-		}
-
-		this.#end(request, chosen.error, context);
-		return 'served';
-	}
-
-	/** What may have changed while the request waited: its time and its key. */
-	#checkAgain(request: LiveRequest, now: Milliseconds): ErrorKind | undefined {
-		if (request.deadline <= now) {
-			return kindsOfWaiting[request.stage];
-		}
-
-		if (!this.#options.safeguards.checksKeyAgain) {
-			return undefined;
-		}
-
-		const {route, arrival, customer} = request;
-		const {configuration} = this.#options;
-		const found = identifyCustomer(configuration, route, arrival.keyHash, now);
-		if (found.isErr) {
-			return found.error;
-		}
-
-		return found.value === customer ? undefined : ErrorKind.KeyUnknown;
-	}
-
-	#forward(request: LiveRequest, choice: Choice, context: Context): void {
-		request.stage = 'attempt';
-		request.attempt++;
-		request.choice = choice;
-		request.avoid.push(choice.server.name);
-		context.emit({
-			type: 'forward',
-			requestId: request.arrival.requestId,
-			attempt: request.attempt,
-			server: choice.server,
-			route: request.route,
-			customer: request.customer,
-			deadline: request.deadline,
-		});
-	}
-
 	#endOrRetry(
 		request: LiveRequest,
 		event: AttemptEnded,
@@ -334,7 +240,7 @@
 		}
 
 		this.#rate.remove(request);
-		this.#queue.remove(request);
+		this.#place.remove(request);
 		if (request.choice !== undefined) {
 			const {attempt, choice} = request;
 			this.#cancelled.cancel(requestId, attempt, choice, context);
@@ -347,33 +253,6 @@
 		this.#rate.giveBack(request, context);
 		this.#claim.end(request, context);
 		const trueKind = toTrueKind(kind, request, this.#options.safeguards);
-		this.#tellEnd(request, trueKind, context);
-	}
-
-	#refuseAtOnce(
-		arrival: RequestArrived,
-		kind: ErrorKind,
-		context: Context,
-	): void {
-		const route = this.#routes?.getLongest(arrival.path);
-		// Not identified: its label is that of customers without their own.
-		const measured = {route, customer: '', arrivedAt: context.now};
-		this.#tellEnd({...measured, arrival}, kind, context);
-	}
-
-	#tellEnd(
-		request: Parameters<RequestMetrics['observe']>[0] & {
-			readonly arrival: RequestArrived;
-		},
-		kind: ErrorKind | undefined,
-		context: Context,
-	): void {
-		const {requestId} = request.arrival;
-		if (kind !== undefined) {
-			context.emit({type: 'refuse', requestId, kind, retryAfter: undefined});
-		}
-
-		this.#metrics.observe(request, kind, context);
-		context.raise({type: 'request-ended', requestId, kind});
+		this.#report.end(request, trueKind, context);
 	}
 }
