Refuse early what even a fast answer would be too late for; read stale in the fuzzing

Cause: a request whose time is too short for any answer kept its turn in the queue; the store may answer reads from the past. Change: a minimum of answer durations for each pool, checked on joining the queue and on ticks; the fate 'stale' for reads; waits for shares also end at the next arrival. Excluded: a mean as the estimate, which refuses too much after a slow spell.

--- a/packages/requests/__tests__/fairness.test.ts
+++ b/packages/requests/__tests__/fairness.test.ts
@@ -71,6 +71,21 @@
 		expect(listServed(fleet, 5)).toInclude('school');
 	});
 
+	it('refuses early what even a fast answer would be too late for', () => {
+		const fleet = createSaturatedFleet(0, 0);
+		fleet.now = 100;
+		fleet.endAttempt(0, 'answered', answered);
+		fleet.send(0, {path: '/entries', keyHash: 'key:lesson'});
+		const school = {path: '/entries', keyHash: 'key:school'};
+		fleet.send(0, {...school, deadline: 199});
+		fleet.send(0, {...school, deadline: 250});
+		const listKinds = (): Array<string | undefined> =>
+			[...fleet.oracle.requests].slice(-2).map(({kind}) => kind);
+		expect(listKinds()).toEqual(['no-room', undefined]);
+		fleet.advance(51);
+		expect(listKinds()).toEqual(['no-room', 'no-room']);
+	});
+
 	const overtaking = (keepsTurn: boolean): string | undefined => {
 		const fleet = new Fleet({hosts: 1, safeguards: {keepsTurn}});
 		const [host] = fleet.hosts;
--- a/packages/requests/__tests__/fake-store.ts
+++ b/packages/requests/__tests__/fake-store.ts
@@ -10,13 +10,16 @@
 	/** Nothing happened and nothing is known. */
 	| 'dropped'
 	/** The store was not reached. */
-	| 'failed';
+	| 'failed'
+	/** A read tells of the state before the last change. */
+	| 'stale';
 
 type Entry = {readonly version: number; readonly value: unknown};
 
 /** Objects under compare-and-set; a test decides the fate of each call. */
 export class FakeStore {
 	readonly objects = new Map<string, Entry>();
+	readonly #previous = new Map<string, Entry | undefined>();
 	readonly #late: WriteObject[] = [];
 
 	handle(call: ReadObject | WriteObject, fate: StoreFate): KernelEvent {
@@ -35,8 +38,9 @@
 	#read(call: ReadObject, fate: StoreFate): KernelEvent {
 		const {operationId, name} = call;
 		const type = 'object-read';
-		const entry = this.objects.get(name);
-		if (fate !== 'done') {
+		const isStale = fate === 'stale';
+		const entry = (isStale ? this.#previous : this.objects).get(name);
+		if (fate !== 'done' && !isStale) {
 			return {type, operationId, name, result: {kind: 'failed'}};
 		}
 
@@ -57,7 +61,7 @@
 			return {type, operationId, name, result: {kind: 'failed'}};
 		}
 
-		if (fate === 'done') {
+		if (fate === 'done' || fate === 'stale') {
 			const version = this.#apply(call);
 			return version === undefined
 				? {type, operationId, name, result: {kind: 'conflict'}}
@@ -81,6 +85,7 @@
 			return undefined;
 		}
 
+		this.#previous.set(name, this.objects.get(name));
 		this.objects.set(name, {
 			version: version + 1,
 			value: structuredClone(value),
--- a/packages/requests/__tests__/fleet.ts
+++ b/packages/requests/__tests__/fleet.ts
@@ -167,7 +167,8 @@
 	answerStore(index: number, fate: StoreFate): void {
 		const [next] = this.calls.splice(index % this.calls.length, 1);
 		if (next !== undefined) {
-			const downFate = fate === 'done' ? 'failed' : fate;
+			const isAnswered = fate === 'done' || fate === 'stale';
+			const downFate = isAnswered ? 'failed' : fate;
 			const event = this.store.handle(
 				next.call,
 				this.isStoreDown ? downFate : fate,
--- a/packages/requests/__tests__/operations.ts
+++ b/packages/requests/__tests__/operations.ts
@@ -80,6 +80,7 @@
 		'late',
 		'dropped',
 		'failed',
+		'stale',
 	),
 });
 
--- a/packages/requests/src/live-request.ts
+++ b/packages/requests/src/live-request.ts
@@ -15,6 +15,8 @@
 	stage: Stage;
 	/** Number of the latest attempt; 0 before the first. */
 	attempt: number;
+	/** When the latest attempt was forwarded. */
+	forwardedAt: Milliseconds;
 	/** The place of the running attempt. */
 	choice: Choice | undefined;
 	/** Servers that earlier attempts went to. */
@@ -40,6 +42,7 @@
 		...fields,
 		stage: 'rate',
 		attempt: 0,
+		forwardedAt: 0,
 		choice: undefined,
 		avoid: [],
 		mayHaveRun: false,
--- a/packages/requests/src/place-step.ts
+++ b/packages/requests/src/place-step.ts
@@ -5,6 +5,7 @@
 	Router,
 } from '@parsleyvale/kernel';
 import {ErrorKind, type Milliseconds} from '@parsleyvale/shared';
+import {AttemptDurations} from './attempt-durations.js';
 import type {CustomerTable} from './customer-table.js';
 import {toKindOfWaiting, type LiveRequest} from './live-request.js';
 import {PlaceQueue, type Turn} from './place-queue.js';
@@ -24,6 +25,7 @@
 export class PlaceStep {
 	readonly #options: PlaceStepOptions;
 	readonly #queue: PlaceQueue;
+	readonly #durations = new AttemptDurations();
 
 	constructor(options: PlaceStepOptions) {
 		this.#options = options;
@@ -40,6 +42,11 @@
 			return;
 		}
 
+		if (this.isUseless(request, context.now)) {
+			onRefused(request, ErrorKind.NoRoom, context);
+			return;
+		}
+
 		const refused = this.#queue.add(request);
 		if (refused !== undefined) {
 			onRefused(refused, ErrorKind.NoRoom, context);
@@ -59,6 +66,19 @@
 		);
 	}
 
+	/** Whether a request that waits cannot be answered in time any more. */
+	isUseless(request: LiveRequest, now: Milliseconds): boolean {
+		const {route, deadline, stage} = request;
+		return (
+			stage === 'place' && this.#durations.isTooLate(route.pool, deadline, now)
+		);
+	}
+
+	/** Learns how long answers take. */
+	onAnswered(request: LiveRequest, now: Milliseconds): void {
+		this.#durations.add(request.route.pool, now - request.forwardedAt);
+	}
+
 	/** Forgets a request that ended while it waited. */
 	remove(request: LiveRequest): void {
 		this.#queue.remove(request);
@@ -119,6 +139,7 @@
 	#forward(request: LiveRequest, choice: Choice, context: Context): void {
 		request.stage = 'attempt';
 		request.attempt++;
+		request.forwardedAt = context.now;
 		request.choice = choice;
 		request.avoid.push(choice.server.name);
 		context.emit({
--- a/packages/requests/src/request-life.ts
+++ b/packages/requests/src/request-life.ts
@@ -95,6 +95,8 @@
 			return;
 		}
 
+		// Ticks are too far apart for a wait of a few milliseconds.
+		this.#rate.refuseLate(context);
 		if (this.#isStopping) {
 			this.#report.refuse(arrival, this.#routes, ErrorKind.Stopping, context);
 			return;
@@ -137,6 +139,10 @@
 			request.hasToken &&= !this.#options.safeguards.countsRetries;
 		}
 
+		if (event.outcome === 'answered') {
+			this.#place.onAnswered(request, context.now);
+		}
+
 		this.#endOrRetry(request, event, context);
 		this.#place.serve(request.route.pool, context);
 	}
@@ -158,7 +164,8 @@
 
 	onTick(context: Context): void {
 		for (const request of this.#requests.values()) {
-			if (request.deadline <= context.now) {
+			const isLate = request.deadline <= context.now;
+			if (isLate || this.#place.isUseless(request, context.now)) {
 				this.#end(request, toKindOfWaiting(request.stage), context);
 			}
 		}
