--- a/packages/requests/src/live-request.ts
+++ b/packages/requests/src/live-request.ts
@@ -1,5 +1,5 @@
 import type {Choice, Claim, RequestArrived} from '@parsleyvale/kernel';
-import type {Milliseconds, Route} from '@parsleyvale/shared';
+import {ErrorKind, type Milliseconds, type Route} from '@parsleyvale/shared';
 
 /** What a request waits for. */
 export type Stage = 'rate' | 'claim' | 'place' | 'attempt';
@@ -15,6 +15,8 @@
 	stage: Stage;
 	/** Number of the latest attempt; 0 before the first. */
 	attempt: number;
+	/** When the latest attempt was forwarded. */
+	forwardedAt: Milliseconds;
 	/** The place of the running attempt. */
 	choice: Choice | undefined;
 	/** Servers that earlier attempts went to. */
@@ -40,6 +42,7 @@
 		...fields,
 		stage: 'rate',
 		attempt: 0,
+		forwardedAt: 0,
 		choice: undefined,
 		avoid: [],
 		mayHaveRun: false,
@@ -49,3 +52,15 @@
 		shareDeadline: 0,
 	};
 }
+
+const kindsOfWaiting: Readonly<Record<Stage, ErrorKind>> = {
+	rate: ErrorKind.ShareUnavailable,
+	claim: ErrorKind.ClaimUnavailable,
+	place: ErrorKind.NoRoom,
+	attempt: ErrorKind.DeadlineExceeded,
+};
+
+/** The error of a request whose deadline passes in this stage. */
+export function toKindOfWaiting(stage: Stage): ErrorKind {
+	return kindsOfWaiting[stage];
+}
