Prove the rule for withdrawn keys, each safeguard turned off first

Change: where the maker of a version is not known the answer is outcome-unknown; peers pass on which operations made the newest versions; a host without a configuration reads twice a second and not every 5 s (it stayed without one for 5 s after an outage). Conclusion: the rule needs the store and a majority that confirmed after the store had it; the store alone and a majority alone both fail.

--- a/packages/configuration/__tests__/configuration-fuzz.test.ts
+++ b/packages/configuration/__tests__/configuration-fuzz.test.ts
@@ -7,10 +7,7 @@
 const seed = 52_026;
 const runs = 60;
 
-function checkSessions(
-	safeguards: Partial<Safeguards>,
-	numRuns: number,
-): fc.RunDetails<unknown> {
+function checkSessions(safeguards: Partial<Safeguards>, numRuns: number) {
 	const property = fc.property(steps, fc.nat(), (script, networkSeed) => {
 		runSession(script, networkSeed, safeguards);
 	});
--- a/packages/configuration/src/configuration-plugin.ts
+++ b/packages/configuration/src/configuration-plugin.ts
@@ -28,6 +28,9 @@
 /** Catches up where a watch lags or has broken unseen. */
 const readInterval: Milliseconds = 5000;
 
+/** While this host has no configuration. */
+const firstReadInterval: Milliseconds = 500;
+
 /** Keeps the configuration in force and judges keys. */
 export class ConfigurationPlugin extends Plugin {
 	readonly #rules: Rules;
@@ -187,7 +190,9 @@
 			context.emit({type: 'watch-object', name: configurationObject});
 		}
 
-		if (context.now - this.#readAt >= readInterval) {
+		const interval =
+			this.#versions.current === undefined ? firstReadInterval : readInterval;
+		if (context.now - this.#readAt >= interval) {
 			this.#readAt = context.now;
 			context.emit({
 				type: 'read-object',
--- a/packages/configuration/src/key-withdrawals.ts
+++ b/packages/configuration/src/key-withdrawals.ts
@@ -177,6 +177,10 @@
 		}
 
 		pending.isStored = true;
+		if (!this.#parts.rules.safeguards.confirmAfterStore) {
+			return;
+		}
+
 		pending.token = this.#createToken();
 		pending.confirmed.clear();
 		this.#sendToPeers(pending, context);
--- a/packages/configuration/src/messages.ts
+++ b/packages/configuration/src/messages.ts
@@ -1,3 +1,4 @@
+import {versionedConfigurationSchema} from '@parsleyvale/shared';
 import {z} from 'zod';
 
 const hashSchema = z.string().regex(/^[\da-f]{64}$/);
@@ -39,6 +40,12 @@
 	versions: z.array(hostVersionSchema),
 });
 
+/** Which operation made a version; lets a host answer a repeated operation. */
+export const operationSchema = z.strictObject({
+	version: versionSchema,
+	operationId: z.string(),
+});
+
 const sectionDeltaSchema = z.strictObject({
 	removed: z.array(z.string()),
 	set: z.array(z.looseObject({name: z.string()})),
@@ -54,6 +61,16 @@
 	digest: z.string(),
 });
 
+export const deltaMessageSchema = z.strictObject({
+	delta: deltaSchema,
+	operations: z.array(operationSchema),
+});
+
+export const wholeMessageSchema = z.strictObject({
+	whole: versionedConfigurationSchema,
+	operations: z.array(operationSchema),
+});
+
 export const withdrawSchema = z.strictObject({
 	token: z.string(),
 	hashes: z.array(hashSchema),
@@ -76,12 +93,13 @@
 	confirm: 'configuration/confirm',
 } as const;
 
-export {versionedConfigurationSchema as wholeSchema} from '@parsleyvale/shared';
-
 export type HostVersion = z.infer<typeof hostVersionSchema>;
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 export type SyncReply = z.infer<typeof syncReplySchema>;
 export type SectionDelta = z.infer<typeof sectionDeltaSchema>;
 export type ConfigurationDelta = z.infer<typeof deltaSchema>;
+export type Operation = z.infer<typeof operationSchema>;
+export type DeltaMessage = z.infer<typeof deltaMessageSchema>;
+export type WholeMessage = z.infer<typeof wholeMessageSchema>;
 export type Withdraw = z.infer<typeof withdrawSchema>;
 export type Confirm = z.infer<typeof confirmSchema>;
--- a/packages/configuration/src/options.ts
+++ b/packages/configuration/src/options.ts
@@ -22,6 +22,8 @@
 	readonly waitForStore: boolean;
 	/** An acknowledgement waits for a majority that confirmed after the store. */
 	readonly waitForMajority: boolean;
+	/** Only what was confirmed after the store had it counts. */
+	readonly confirmAfterStore: boolean;
 	/** An acknowledgement waits until older rights have ended. */
 	readonly waitForFreshness: boolean;
 };
@@ -35,6 +37,7 @@
 	syncedVouchers: true,
 	waitForStore: true,
 	waitForMajority: true,
+	confirmAfterStore: true,
 	waitForFreshness: true,
 };
 
--- a/packages/configuration/src/peer-messages.ts
+++ b/packages/configuration/src/peer-messages.ts
@@ -5,12 +5,13 @@
 import type {KeyWithdrawals} from './key-withdrawals.js';
 import {
 	confirmSchema,
-	deltaSchema,
+	deltaMessageSchema,
 	syncReplySchema,
 	syncRequestSchema,
 	topics,
-	wholeSchema,
+	wholeMessageSchema,
 	withdrawSchema,
+	type Operation,
 } from './messages.js';
 import type {PeerSync} from './peer-sync.js';
 import type {VersionsInForce} from './versions-in-force.js';
@@ -44,6 +45,12 @@
 
 function createHandlers(parts: Parts): Map<string, Handler> {
 	const {sync, keyWithdrawals, versions, onNewer} = parts;
+	const addOperations = (operations: readonly Operation[]) => {
+		for (const operation of operations) {
+			versions.addOperation(operation);
+		}
+	};
+
 	return new Map([
 		[
 			topics.syncRequest,
@@ -59,16 +66,20 @@
 		],
 		[
 			topics.whole,
-			createHandler(wholeSchema, (whole, _event, context) => {
-				onNewer(whole, context);
+			createHandler(wholeMessageSchema, (message, _event, context) => {
+				addOperations(message.operations);
+				onNewer(message.whole, context);
 			}),
 		],
 		[
 			topics.delta,
-			createHandler(deltaSchema, (delta, _event, context) => {
+			createHandler(deltaMessageSchema, (message, _event, context) => {
+				addOperations(message.operations);
 				const {current} = versions;
 				const merged =
-					current === undefined ? undefined : mergeDelta(current, delta);
+					current === undefined
+						? undefined
+						: mergeDelta(current, message.delta);
 				if (merged !== undefined) {
 					onNewer(merged, context);
 				}
--- a/packages/configuration/src/peer-sync.ts
+++ b/packages/configuration/src/peer-sync.ts
@@ -2,7 +2,13 @@
 import type {Context, PeerIdentity} from '@parsleyvale/kernel';
 import type {HostVersions} from './host-versions.js';
 import type {KeyFreshness} from './key-freshness.js';
-import {topics, type SyncReply, type SyncRequest} from './messages.js';
+import {
+	topics,
+	type DeltaMessage,
+	type SyncReply,
+	type SyncRequest,
+	type WholeMessage,
+} from './messages.js';
 import type {Rules} from './options.js';
 import type {Roster} from './roster.js';
 import {allToAllLimit, type SyncTree} from './sync-tree.js';
@@ -92,13 +98,17 @@
 
 	/** Sends what changed since a version, or the whole. */
 	sendConfiguration(to: string, since: number, context: Context): void {
-		const delta = this.#parts.versions.findDelta(since);
-		context.emit({
-			type: 'send-peer',
-			to,
-			topic: delta === undefined ? topics.whole : topics.delta,
-			payload: delta ?? this.#parts.versions.current,
-		});
+		const {versions} = this.#parts;
+		const operations = versions.listOperations();
+		const delta = versions.findDelta(since);
+		const whole = versions.current;
+		if (delta !== undefined) {
+			const payload: DeltaMessage = {delta, operations};
+			context.emit({type: 'send-peer', to, topic: topics.delta, payload});
+		} else if (whole !== undefined) {
+			const payload: WholeMessage = {whole, operations};
+			context.emit({type: 'send-peer', to, topic: topics.whole, payload});
+		}
 	}
 
 	/** Sends what changed since a version to all that this host talks to. */
--- a/packages/configuration/src/proposal.ts
+++ b/packages/configuration/src/proposal.ts
@@ -51,5 +51,6 @@
 		return 'not-yet';
 	}
 
-	return proposal.mayBeWritten ? 'unknown' : 'overtaken';
+	// Another host may have been asked to apply it and have done so.
+	return 'unknown';
 }
--- a/packages/configuration/src/versions-in-force.ts
+++ b/packages/configuration/src/versions-in-force.ts
@@ -1,11 +1,14 @@
 import type {VersionedConfiguration} from '@parsleyvale/shared';
 import {computeDelta} from './configuration-delta.js';
-import type {ConfigurationDelta} from './messages.js';
+import type {ConfigurationDelta, Operation} from './messages.js';
 import type {Rules} from './options.js';
 
 /** Versions kept whole, to send only what changed since. */
 const keptVersions = 8;
 
+/** Operation ids told to peers with each configuration. */
+const toldOperations = 32;
+
 /** Operation ids kept to answer an operator who asks again. */
 const keptOperations = 1000;
 
@@ -34,7 +37,7 @@
 
 	/** Puts a configuration in force; returns false for one that is not newer. */
 	apply(candidate: VersionedConfiguration): boolean {
-		this.#addOperation(candidate);
+		this.addOperation(candidate);
 		const rises = candidate.version > this.version;
 		const differs = candidate.version !== this.version;
 		if (!rises && (this.#rules.safeguards.risingVersions || !differs)) {
@@ -50,6 +53,14 @@
 		return true;
 	}
 
+	/** The operations that made the newest versions. */
+	listOperations(): Operation[] {
+		return [...this.#operations]
+			.map(([version, operationId]) => ({version, operationId}))
+			.sort((a, b) => b.version - a.version)
+			.slice(0, toldOperations);
+	}
+
 	/** The operation that made a version, as far as this host saw it. */
 	findOperation(version: number): string | undefined {
 		return this.#operations.get(version);
@@ -65,8 +76,8 @@
 		return computeDelta(before, this.#current);
 	}
 
-	#addOperation(candidate: VersionedConfiguration): void {
-		this.#operations.set(candidate.version, candidate.operationId);
+	addOperation({version, operationId}: Operation): void {
+		this.#operations.set(version, operationId);
 		if (this.#operations.size > keptOperations) {
 			const [oldest] = this.#operations.keys();
 			this.#operations.delete(oldest!);
