Push an accepted configuration to peers also when the watch was first

Cause: a new test failed: a host cut from the store had version 1 for up to 500 ms more, because the writer's own watch told it of its write before the answer came, and it then took the version for old news. Change: the writer tells its peers whenever a change is accepted.

--- a/packages/configuration/src/configuration-plugin.ts
+++ b/packages/configuration/src/configuration-plugin.ts
@@ -131,7 +131,11 @@
 		this.#proposals = new Proposals({
 			...shared,
 			onStored: (stored, context) => {
-				this.#applyStored(stored, context);
+				this.#apply(stored, context);
+			},
+			// Peers that are cut from the store need not wait to be asked.
+			onAccepted: (version, context) => {
+				this.#sync.sendToAll(version - 1, context);
 			},
 		});
 		this.#keyWithdrawals = new KeyWithdrawals({
@@ -216,16 +220,8 @@
 		}
 	}
 
-	/** This host's own write is told to peers at once, beside their watches. */
-	#applyStored(stored: VersionedConfiguration, context: Context): void {
-		const before = this.#versions.version;
-		if (this.#apply(stored, context)) {
-			this.#sync.sendToAll(before, context);
-		}
-	}
-
-	#apply(candidate: VersionedConfiguration, context: Context): boolean {
-		return this.#local.apply(candidate, context);
+	#apply(candidate: VersionedConfiguration, context: Context): void {
+		this.#local.apply(candidate, context);
 	}
 }
 
--- a/packages/configuration/src/proposals.ts
+++ b/packages/configuration/src/proposals.ts
@@ -35,6 +35,8 @@
 	readonly versions: VersionsInForce;
 	/** Puts a version that the store holds in force. */
 	readonly onStored: (stored: VersionedConfiguration, context: Context) => void;
+	/** Tells peers of a version that this host wrote. */
+	readonly onAccepted: (version: number, context: Context) => void;
 };
 
 /**
@@ -260,6 +262,7 @@
 	#accept(proposal: Proposal, context: Context): void {
 		const {operationId, version} = proposal.value;
 		this.#pending.delete(operationId);
+		this.#parts.onAccepted(version, context);
 		this.#answer(
 			{
 				type: 'answer-operator',
