Fuzz membership under freezes, cuts, kills and graceful stops

Change: after a pause of more than 500 ms what arrives within 200 ms does not count, and look-up answers name only hosts heard within 2 s.

--- a/packages/configuration/__tests__/fleet.ts
+++ b/packages/configuration/__tests__/fleet.ts
@@ -109,7 +109,7 @@
 	}
 
 	freeze(host: FleetHost, span: number): void {
-		host.frozenUntil = this.schedule.now + span;
+		host.frozenUntil = Math.max(host.frozenUntil, this.schedule.now + span);
 	}
 
 	cut(a: string, b: string): void {
--- a/packages/configuration/__tests__/schedule.ts
+++ b/packages/configuration/__tests__/schedule.ts
@@ -1,13 +1,12 @@
 const multiplier = 48_271;
 const modulus = 2_147_483_647;
 
-type Job = {readonly at: number; readonly order: number; run(): void};
+type Job = {readonly at: number; run(): void};
 
 /** Virtual time: jobs run in order of their moments. */
 export class Schedule {
 	now = 0;
-	#jobs: Job[] = [];
-	#order = 0;
+	readonly #jobs: Job[] = [];
 	#state: number;
 
 	constructor(seed: number) {
@@ -20,22 +19,20 @@
 	};
 
 	add(delay: number, run: () => void): void {
-		this.#jobs.push({at: this.now + delay, order: this.#order++, run});
+		const at = this.now + delay;
+		let place = this.#jobs.length;
+		while (place > 0 && this.#jobs[place - 1]!.at > at) {
+			place--;
+		}
+
+		this.#jobs.splice(place, 0, {at, run});
 	}
 
 	/** Runs what is due within the span. */
 	advance(span: number): void {
 		const end = this.now + span;
-		for (;;) {
-			const due = this.#jobs
-				.filter((job) => job.at <= end)
-				.sort((a, b) => a.at - b.at || a.order - b.order);
-			const [next] = due;
-			if (next === undefined) {
-				break;
-			}
-
-			this.#jobs = this.#jobs.filter((job) => job !== next);
+		while ((this.#jobs[0]?.at ?? Number.POSITIVE_INFINITY) <= end) {
+			const next = this.#jobs.shift()!;
 			this.now = Math.max(this.now, next.at);
 			next.run();
 		}
--- /dev/null
+++ b/packages/membership/__tests__/member-fleet.ts
@@ -0,0 +1,217 @@
+import {
+	ConfigurationView,
+	configurationKey,
+	createKernel,
+	membershipKey,
+	type Effect,
+	type EffectOf,
+	type Kernel,
+	type KernelEvent,
+	type Membership,
+} from '@parsleyvale/kernel';
+import {
+	configurationSchema,
+	ErrorKind,
+	type Configuration,
+	type EntryHost,
+	type VersionedConfiguration,
+} from '@parsleyvale/shared';
+import {Result} from 'true-myth';
+import {createMembership, type MembershipPlugin} from '../src/index.js';
+import {Schedule} from './schedule.js';
+
+const tickInterval = 100;
+const listInterval = 1000;
+const listLag = 3000;
+
+export const lookUpLifetime = 2000;
+
+export function createEntryHost(
+	name: string,
+	incarnation: number,
+	region: string,
+): EntryHost {
+	return {
+		name,
+		incarnation: `${name}-${incarnation}`,
+		region,
+		failureDomain: `${region}-a`,
+		callers: {address: '127.0.0.1', port: 1},
+		peers: {address: '127.0.0.1', port: 2},
+		leaving: false,
+	};
+}
+
+/** The key hash is taken as the name of the customer. */
+export class FakeConfiguration extends ConfigurationView {
+	current: VersionedConfiguration | undefined;
+
+	set(configuration: Partial<Configuration>): void {
+		this.current = {
+			version: 1,
+			operationId: 'test',
+			configuration: configurationSchema.parse(configuration),
+		};
+	}
+
+	identify(keyHash: string): Result<string, ErrorKind> {
+		return keyHash === ''
+			? Result.err(ErrorKind.KeyUnknown)
+			: Result.ok(keyHash);
+	}
+}
+
+export class MemberHost {
+	readonly plugin: MembershipPlugin;
+	readonly membership: Membership;
+	readonly kernel: Kernel;
+	readonly startedAt: number;
+	isAlive = true;
+	isStopping = false;
+	frozenUntil = 0;
+	diedAt = Number.POSITIVE_INFINITY;
+
+	constructor(
+		readonly host: EntryHost,
+		fleet: MemberFleet,
+	) {
+		this.startedAt = fleet.schedule.now;
+		this.plugin = createMembership({lookUpLifetimeMs: lookUpLifetime});
+		this.kernel = createKernel({self: host, random: fleet.schedule.random});
+		this.kernel.provide(configurationKey, fleet.configuration);
+		this.kernel.use(this.plugin);
+		this.membership = this.kernel.inject(membershipKey);
+	}
+
+	get name(): string {
+		return this.host.name;
+	}
+}
+
+/** Entry hosts under virtual time, a lossy network and a lagging list. */
+export class MemberFleet {
+	readonly schedule: Schedule;
+	readonly configuration = new FakeConfiguration();
+	readonly hosts: MemberHost[] = [];
+	readonly cutPairs = new Set<string>();
+	lossRate = 0;
+	slowestMessage = 20;
+	/** Called for each message that is sent. */
+	onSend: (from: string, effect: EffectOf<'send-peer'>) => void = () =>
+		undefined;
+	readonly #starts = new Map<string, number>();
+
+	constructor(seed: number) {
+		this.schedule = new Schedule(seed);
+	}
+
+	start(name: string, region = 'tpe'): MemberHost {
+		const count = (this.#starts.get(name) ?? 0) + 1;
+		this.#starts.set(name, count);
+		const host = new MemberHost(createEntryHost(name, count, region), this);
+		const old = this.hosts.findIndex((known) => known.name === name);
+		if (old === -1) {
+			this.hosts.push(host);
+		} else {
+			this.kill(this.hosts[old]!);
+			this.hosts[old] = host;
+		}
+
+		this.#tick(host);
+		this.#list(host);
+		return host;
+	}
+
+	kill(host: MemberHost): void {
+		host.isAlive = false;
+		host.diedAt = Math.min(host.diedAt, this.schedule.now);
+	}
+
+	cut(a: string, b: string): void {
+		this.cutPairs.add(`${a} ${b}`).add(`${b} ${a}`);
+	}
+
+	heal(): void {
+		this.cutPairs.clear();
+		this.lossRate = 0;
+		this.slowestMessage = 20;
+	}
+
+	/** The names that a host answers to a caller with this customer's key. */
+	lookUp(host: MemberHost, customer = '', callerAddress = '192.0.2.1') {
+		const event: KernelEvent = {
+			type: 'look-up-arrived',
+			lookUpId: '1',
+			keyHash: customer,
+			callerAddress,
+		};
+		const effects = host.kernel.handle(event, this.schedule.now);
+		const answer = effects.find((effect) => effect.type === 'answer-look-up');
+		return (answer as EffectOf<'answer-look-up'>).hosts;
+	}
+
+	deliver(host: MemberHost, event: KernelEvent): void {
+		const wait = host.frozenUntil - this.schedule.now;
+		if (wait > 0) {
+			this.schedule.add(wait, () => {
+				this.deliver(host, event);
+			});
+		} else if (host.isAlive) {
+			for (const effect of host.kernel.handle(event, this.schedule.now)) {
+				this.#perform(host, effect);
+			}
+		}
+	}
+
+	#perform(from: MemberHost, effect: Effect): void {
+		if (effect.type !== 'send-peer') {
+			return;
+		}
+
+		this.onSend(from.name, effect);
+		const {random} = this.schedule;
+		const {name, incarnation} = from.host;
+		const copies = random() < this.lossRate ? 2 : 1;
+		for (let copy = 0; copy < copies; copy++) {
+			const isLost = random() < this.lossRate;
+			this.schedule.add(1 + random() * this.slowestMessage, () => {
+				const isCut = this.cutPairs.has(`${name} ${effect.to}`);
+				const to = this.hosts.find((host) => host.name === effect.to);
+				if (to !== undefined && !isCut && !isLost) {
+					const {topic, payload} = effect;
+					const event = {
+						type: 'peer-message',
+						from: {name, incarnation},
+						topic,
+						payload: structuredClone(payload),
+					} as const;
+					this.deliver(to, event);
+				}
+			});
+		}
+	}
+
+	#tick(host: MemberHost): void {
+		if (host.isAlive) {
+			this.deliver(host, {type: 'tick'});
+			this.schedule.add(tickInterval, () => {
+				this.#tick(host);
+			});
+		}
+	}
+
+	#list(host: MemberHost): void {
+		if (!host.isAlive) {
+			return;
+		}
+
+		const hosts = this.hosts.map((known) => known.host);
+		const lag = host.startedAt === this.schedule.now ? 0 : listLag;
+		this.schedule.add(lag, () => {
+			this.deliver(host, {type: 'hosts-listed', hosts});
+		});
+		this.schedule.add(listInterval, () => {
+			this.#list(host);
+		});
+	}
+}
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -24,6 +24,9 @@
 
 const never: Milliseconds = Number.NEGATIVE_INFINITY;
 
+/** After a pause, messages that waited are taken within this time. */
+const wakingTime: Milliseconds = 200;
+
 /** So many monitors must agree that a host is dead. */
 const reportersNeeded = 2;
 
@@ -112,9 +115,13 @@
 			return undefined;
 		}
 
-		entry.heardAt = now;
-		entry.freshAt = now;
-		entry.reporters.clear();
+		// What waited while this host slept may be old.
+		if (now - this.#judgesSince >= wakingTime) {
+			entry.heardAt = now;
+			entry.freshAt = now;
+			entry.reporters.clear();
+		}
+
 		return entry;
 	}
 
@@ -134,6 +141,18 @@
 		return now - since <= patience;
 	}
 
+	/**
+	 * Whether callers may be sent to the host: the benefit of the doubt that a
+	 * new or woken process gives is not passed on to them.
+	 */
+	isUsable(entry: MemberEntry, now: Milliseconds): boolean {
+		if (!this.#isAllToAll) {
+			return this.isLive(entry, now);
+		}
+
+		return entry.heardAt !== undefined && now - entry.heardAt <= deadAfter;
+	}
+
 	listLive(now: Milliseconds): MemberEntry[] {
 		return [...this.#entries.values()].filter((entry) =>
 			this.isLive(entry, now),
--- a/packages/membership/src/membership-plugin.ts
+++ b/packages/membership/src/membership-plugin.ts
@@ -24,7 +24,7 @@
 } from './options.js';
 
 /** A host that did not run for so long cannot judge the silence of others. */
-const longestUsualPause: Milliseconds = deadAfter / 2;
+const longestUsualPause: Milliseconds = deadAfter / 4;
 
 class LiveMembership extends Membership {
 	readonly #self: EntryHost;
@@ -62,7 +62,7 @@
 	#departure!: Departure;
 	#membership!: LiveMembership;
 	#configuration!: ConfigurationView;
-	#tickedAt: Milliseconds | undefined;
+	#awakeAt: Milliseconds | undefined;
 	#lastMembers = '';
 
 	constructor(options: MembershipOptions = {}) {
@@ -102,6 +102,7 @@
 			this.#raiseChanges(context);
 		});
 		kernel.on('peer-message', (event, context) => {
+			this.#checkPause(context.now);
 			this.#onMessage(event, context);
 		});
 		kernel.on('tick', (_event, context) => {
@@ -121,12 +122,7 @@
 
 	#onTick(context: Context): void {
 		const {now} = context;
-		const pause = now - (this.#tickedAt ?? now);
-		this.#tickedAt = now;
-		if (pause > longestUsualPause) {
-			this.#table.onWoken(now);
-		}
-
+		this.#checkPause(now);
 		this.#table.clearForgotten(now);
 		this.#load.onTick(this.#getMeanLoad(now), now);
 		this.#heartbeats.onTick(context);
@@ -134,6 +130,14 @@
 		this.#raiseChanges(context);
 	}
 
+	#checkPause(now: Milliseconds): void {
+		const pause = now - (this.#awakeAt ?? now);
+		this.#awakeAt = now;
+		if (pause > longestUsualPause) {
+			this.#table.onWoken(now);
+		}
+	}
+
 	#onMessage(event: PeerMessage, context: Context): void {
 		const {from, topic, payload} = event;
 		switch (topic) {
@@ -199,12 +203,14 @@
 		};
 		const all = [
 			own,
-			...this.#table.listLive(now).map((entry) => ({
-				name: entry.host.name,
-				weight: entry.weight,
-				host: entry.host,
-				isLeaving: entry.isLeaving,
-			})),
+			...[...this.#table.entries]
+				.filter((entry) => this.#table.isUsable(entry, now))
+				.map((entry) => ({
+					name: entry.host.name,
+					weight: entry.weight,
+					host: entry.host,
+					isLeaving: entry.isLeaving,
+				})),
 		];
 		const drained = this.#listDrained();
 		const staying = all.filter(({isLeaving}) => !isLeaving);
