--- a/packages/configuration/src/configuration-plugin.ts
+++ b/packages/configuration/src/configuration-plugin.ts
@@ -28,6 +28,9 @@
 /** Catches up where a watch lags or has broken unseen. */
 const readInterval: Milliseconds = 5000;
 
+/** While this host has no configuration. */
+const firstReadInterval: Milliseconds = 500;
+
 /** Keeps the configuration in force and judges keys. */
 export class ConfigurationPlugin extends Plugin {
 	readonly #rules: Rules;
@@ -128,7 +131,11 @@
 		this.#proposals = new Proposals({
 			...shared,
 			onStored: (stored, context) => {
-				this.#applyStored(stored, context);
+				this.#apply(stored, context);
+			},
+			// Peers that are cut from the store need not wait to be asked.
+			onAccepted: (version, context) => {
+				this.#sync.sendToAll(version - 1, context);
 			},
 		});
 		this.#keyWithdrawals = new KeyWithdrawals({
@@ -187,7 +194,9 @@
 			context.emit({type: 'watch-object', name: configurationObject});
 		}
 
-		if (context.now - this.#readAt >= readInterval) {
+		const interval =
+			this.#versions.current === undefined ? firstReadInterval : readInterval;
+		if (context.now - this.#readAt >= interval) {
 			this.#readAt = context.now;
 			context.emit({
 				type: 'read-object',
@@ -211,16 +220,8 @@
 		}
 	}
 
-	/** This host's own write is told to peers at once, beside their watches. */
-	#applyStored(stored: VersionedConfiguration, context: Context): void {
-		const before = this.#versions.version;
-		if (this.#apply(stored, context)) {
-			this.#sync.sendToAll(before, context);
-		}
-	}
-
-	#apply(candidate: VersionedConfiguration, context: Context): boolean {
-		return this.#local.apply(candidate, context);
+	#apply(candidate: VersionedConfiguration, context: Context): void {
+		this.#local.apply(candidate, context);
 	}
 }
 
