Add the operators' command-line tool

Cause: operators need validate, apply, get, status, key, customer, route, shift and drain commands over the administration API. Change: parsleyvalectl.

--- /dev/null
+++ b/packages/ctl/src/command-context.ts
@@ -0,0 +1,85 @@
+import {readFile} from 'node:fs/promises';
+import {Result} from 'true-myth';
+import {AdministrationClient} from './administration-client.js';
+import {exitCodes, formatError, type CtlError} from './ctl-error.js';
+import type {Output} from './output.js';
+
+/** What a command tells: a value for scripts and lines for people. */
+export type Report = {
+	readonly value: unknown;
+	readonly lines: readonly string[];
+};
+
+export type ConnectionOptions = {
+	readonly urls: readonly string[];
+	readonly credentialFile: string;
+};
+
+/** What commands share: output and the exit code of the process. */
+export class CommandContext {
+	exitCode = 0;
+	readonly #output: Output;
+
+	constructor(output: Output) {
+		this.#output = output;
+	}
+
+	/** Tells how a command ended. */
+	finish(result: Result<Report, CtlError>, isJson: boolean): void {
+		if (result.isErr) {
+			this.#tellError(result.error, isJson);
+			return;
+		}
+
+		const {value, lines} = result.value;
+		for (const line of isJson ? [JSON.stringify(value)] : lines) {
+			this.#output.write(line);
+		}
+	}
+
+	/** Runs a command against entry hosts and tells how it ended. */
+	async run(
+		options: ConnectionOptions & {readonly json: boolean},
+		command: (
+			client: AdministrationClient,
+		) => Promise<Result<Report, CtlError>>,
+	): Promise<void> {
+		const credential = await readCredential(options.credentialFile);
+		if (credential.isErr) {
+			this.finish(Result.err(credential.error), options.json);
+			return;
+		}
+
+		const client = new AdministrationClient(options.urls, credential.value);
+		try {
+			this.finish(await command(client), options.json);
+		} finally {
+			await client.close();
+		}
+	}
+
+	#tellError(error: CtlError, isJson: boolean): void {
+		this.exitCode = exitCodes[error.kind];
+		if (isJson) {
+			this.#output.write(JSON.stringify({error}));
+			return;
+		}
+
+		for (const line of formatError(error)) {
+			this.#output.writeError(line);
+		}
+	}
+}
+
+async function readCredential(file: string): Promise<Result<string, CtlError>> {
+	try {
+		const text = await readFile(file, 'utf8');
+		return Result.ok(text.trim());
+	} catch (error) {
+		const reason = error instanceof Error ? error.message : String(error);
+		return Result.err({
+			kind: 'not-authorized',
+			message: `The credential file cannot be read: ${reason}`,
+		});
+	}
+}
--- /dev/null
+++ b/packages/ctl/src/commands/shift.ts
@@ -0,0 +1,149 @@
+import {
+	toProblems,
+	shiftSchema,
+	type Configuration,
+	type Shift,
+} from '@parsleyvale/shared';
+import {
+	command,
+	number,
+	option,
+	optional,
+	positional,
+	string,
+	subcommands,
+} from 'cmd-ts';
+import {Result} from 'true-myth';
+import {toChangeReport} from '../change-report.js';
+import {changeConfiguration, type ObjectChange} from '../change.js';
+import type {CommandContext} from '../command-context.js';
+import {connectionOptions} from '../command-options.js';
+import type {CtlError} from '../ctl-error.js';
+import {formatFields} from '../format-fields.js';
+import {findNamed, setNamed} from '../named-objects.js';
+
+const nameArgument = positional({type: string, displayName: 'name'});
+
+/** `shift start|pause|stop|status`. */
+export function createShiftCommand(context: CommandContext) {
+	return subcommands({
+		name: 'shift',
+		description: "Planned moves of a pool's traffic between regions",
+		cmds: {
+			start: createStartCommand(context),
+			pause: createStateCommand(context, 'pause', 'paused'),
+			stop: createStateCommand(context, 'stop', 'stopped'),
+			status: createStatusCommand(context),
+		},
+	});
+}
+
+function createStartCommand(context: CommandContext) {
+	return command({
+		name: 'start',
+		description: 'Start a shift, or go on with it; what is not given stays',
+		args: {
+			name: nameArgument,
+			pool: option({type: optional(string), long: 'pool'}),
+			from: option({type: optional(string), long: 'from'}),
+			to: option({type: optional(string), long: 'to'}),
+			share: option({
+				type: optional(number),
+				long: 'share',
+				description: 'Share of the traffic, from 0 to 1',
+			}),
+			capPerSecond: option({type: optional(number), long: 'cap-per-second'}),
+			capBurst: option({type: optional(number), long: 'cap-burst'}),
+			rampMs: option({type: optional(number), long: 'ramp-ms'}),
+			...connectionOptions,
+		},
+		async handler({urls, credentialFile, json, name, ...given}) {
+			await runChange(context, {urls, credentialFile, json}, name, (shift) =>
+				parseShift({...shift, ...removeUndefined(given), name}),
+			);
+		},
+	});
+}
+
+function createStateCommand(
+	context: CommandContext,
+	verb: string,
+	state: Shift['state'],
+) {
+	return command({
+		name: verb,
+		description: `Set a shift to ${state}`,
+		args: {name: nameArgument, ...connectionOptions},
+		async handler({name, ...options}) {
+			await runChange(context, options, name, (shift) =>
+				shift === undefined
+					? Result.err({
+							kind: 'not-found',
+							message: `There is no shift ${name}`,
+						})
+					: Result.ok({...shift, state}),
+			);
+		},
+	});
+}
+
+async function runChange(
+	context: CommandContext,
+	options: {urls: string[]; credentialFile: string; json: boolean},
+	name: string,
+	edit: (shift: Shift | undefined) => Result<Shift, CtlError>,
+): Promise<void> {
+	const change: ObjectChange = {
+		section: 'shifts',
+		name,
+		apply: (configuration: Configuration) =>
+			edit(findNamed(configuration.shifts, name)).map((shift) => ({
+				...configuration,
+				shifts: setNamed(configuration.shifts, shift),
+			})),
+	};
+	await context.run(options, async (client) =>
+		toChangeReport(await changeConfiguration(client, change), `Shift ${name}`),
+	);
+}
+
+function parseShift(value: object): Result<Shift, CtlError> {
+	const parsed = shiftSchema.safeParse({...value, state: 'running'});
+	return parsed.success
+		? Result.ok(parsed.data)
+		: Result.err({
+				kind: 'invalid-configuration',
+				problems: toProblems('command line', parsed.error.issues),
+			});
+}
+
+function removeUndefined(given: object): object {
+	return Object.fromEntries(
+		Object.entries(given).filter(([, value]) => value !== undefined),
+	);
+}
+
+function createStatusCommand(context: CommandContext) {
+	return command({
+		name: 'status',
+		description: 'Show all shifts, or one',
+		args: {
+			name: positional({type: optional(string), displayName: 'name'}),
+			...connectionOptions,
+		},
+		async handler({name, ...options}) {
+			await context.run(options, async (client) => {
+				const result = await client.readStatus();
+				return result.map(({shifts}) => {
+					const shown = shifts.filter(
+						(shift) => name === undefined || shift.name === name,
+					);
+					return {
+						value: shown,
+						lines: shown.map((shift) => formatFields(shift)),
+					};
+				});
+			});
+		},
+	});
+}
