--- a/packages/ctl/__tests__/fake-administration.ts
+++ b/packages/ctl/__tests__/fake-administration.ts
@@ -28,6 +28,9 @@
 
 /** The store that the entry hosts of a test share, and one such host. */
 export class FakeAdministration {
+	/** The change that a racing operator makes. */
+	race: Race = changeNothing;
+
 	readonly faults: ChangeFault[] = [];
 	/** Operation ids of the changes made, in order. */
 	readonly made: string[] = [];
@@ -41,9 +44,6 @@
 
 	readonly #server: Server;
 
-	/** The change that a racing operator makes. */
-	race: Race = changeNothing;
-
 	constructor() {
 		this.#server = createServer(async (request, response) => {
 			const answer = await this.#handle(request);
