Split the stand-ins' servers into smaller modules

Change: data calls, the fault switch, options, deadlines and refusals have modules of their own. No change of behaviour.

--- a/packages/stand-ins/src/backend-job.ts
+++ b/packages/stand-ins/src/backend-job.ts
@@ -17,13 +17,6 @@
 	readonly load: number;
 };
 
-/** Why a job was aborted. */
-export class AbortReason extends Error {
-	constructor(readonly outcome: 'cancelled' | 'deadline-exceeded') {
-		super(outcome);
-	}
-}
-
 /** The header fields that every answer carries. */
 export function toAnswerHeaders(job: BackendJob): Record<string, string> {
 	const requestId = getHeader(job.request, 'x-request-id');
--- a/packages/stand-ins/src/backend-server.ts
+++ b/packages/stand-ins/src/backend-server.ts
@@ -11,11 +11,20 @@
 	type Endpoint,
 	type Milliseconds,
 } from '@parsleyvale/shared';
+import {AbortReason, answerAborted, startDeadline} from './backend-deadline.js';
 import {BackendControl} from './backend-control.js';
 import {createBackendCounts, type BackendCounts} from './backend-counts.js';
 import {runFaultyJob} from './backend-fault-answers.js';
 import {FaultSwitch, type BackendFaults} from './backend-faults.js';
-import {AbortReason, toAnswerHeaders, type BackendJob} from './backend-job.js';
+import type {BackendJob} from './backend-job.js';
+import {refuseRequest, type Refusal} from './backend-refusal.js';
+import {
+	computeServiceTime,
+	createBackendServerOptions,
+	type BackendServerOptions,
+	type GivenBackendServerOptions,
+} from './backend-server-options.js';
+import {runBusily} from './busy-work.js';
 import {
 	ExecutionLog,
 	getHeader,
@@ -26,26 +35,6 @@
 import {LoadReport} from './load-report.js';
 import {ServiceSlots} from './service-slots.js';
 
-export type BackendServerOptions = Endpoint & {
-	readonly name: string;
-	readonly slots: number;
-	/** Most connections open at once. */
-	readonly connections: number;
-	/** Requests that wait for a slot before the server sheds. */
-	readonly queueLength: number;
-	readonly serviceTime: Milliseconds;
-	/** Processor time of a new connection. */
-	readonly connectCost: Milliseconds;
-	/** Processor time of a probe. */
-	readonly probeCost: Milliseconds;
-	/** How long after its start the server is slower than later. */
-	readonly coldSpan: Milliseconds;
-	/** How much slower it is at its start. */
-	readonly coldFactor: number;
-	/** Port of the control plane, on the same address. */
-	readonly controlPort: number;
-};
-
 const keepAliveTimeout: Milliseconds = 60_000;
 
 /** A backend server that records what it runs, with faults on command. */
@@ -150,7 +139,7 @@
 		const faults = this.faults.take();
 		if (this.isDraining || faults.mode === 'refuse') {
 			this.counts.refusedInDrain += this.isDraining ? 1 : 0;
-			this.#refuse(request, response, 503);
+			refuseRequest(request, response, 503, this.#createRefusal());
 			return;
 		}
 
@@ -163,7 +152,7 @@
 		options: {expectsContinue: boolean; faults: BackendFaults},
 	): Promise<void> {
 		const abort = new AbortController();
-		const timer = startDeadline(request, abort, options.faults);
+		const timer = startDeadline(request, abort, options.faults.mode);
 		response.once('close', () => {
 			clearTimeout(timer);
 			if (!response.writableFinished) {
@@ -177,7 +166,8 @@
 		if (slot !== 'granted') {
 			this.counts[slot] += 1;
 			this.#sampleLoad();
-			this.#refuse(request, response, slot === 'shed' ? 503 : 504);
+			const status = slot === 'shed' ? 503 : 504;
+			refuseRequest(request, response, status, this.#createRefusal());
 			return;
 		}
 
@@ -196,6 +186,7 @@
 		signal: AbortSignal,
 		faults: BackendFaults,
 	): Promise<void> {
+		const age = this.#clock.now() - this.#startedAt;
 		this.counts.begun += 1;
 		const record = this.log.begin(request);
 		const job: BackendJob = {
@@ -203,7 +194,7 @@
 			response,
 			record,
 			server: this.#options.name,
-			serviceTime: this.#computeServiceTime(),
+			serviceTime: computeServiceTime(this.#options, age),
 			signal,
 			load: this.loadReport.load,
 		};
@@ -211,48 +202,17 @@
 			await runFaultyJob(job, faults);
 			record.end(faults.mode === 'none' ? 'completed' : 'faulty');
 		} catch {
-			this.#onAborted(job);
+			const outcome = answerAborted(job);
+			this.counts.cancelled += outcome === 'cancelled' ? 1 : 0;
 		}
 	}
 
-	#onAborted(job: BackendJob): void {
-		const {record, response, signal} = job;
-		const {reason} = signal as {reason: unknown};
-		const outcome =
-			reason instanceof AbortReason ? reason.outcome : 'cancelled';
-		this.counts.cancelled += outcome === 'cancelled' ? 1 : 0;
-		record.end(outcome);
-		if (response.headersSent || response.destroyed) {
-			response.destroy();
-		} else {
-			response.setHeaders(new Headers(toAnswerHeaders(job)));
-			sendJson(response, 504, {message: 'The deadline has passed'});
-		}
-	}
-
-	/** Answers that the server has not begun on the request. */
-	#refuse(
-		request: IncomingMessage,
-		response: ServerResponse,
-		status: number,
-	): void {
-		if (response.destroyed) {
-			return;
-		}
-
-		const requestId = getHeader(request, 'x-request-id');
-		response.setHeader('x-not-run', 'true');
-		response.setHeader('x-server', this.#options.name);
-		response.setHeader('x-load', String(this.loadReport.load));
-		if (requestId !== undefined) {
-			response.setHeader('x-request-id', requestId);
-		}
-
-		if (this.isDraining) {
-			response.setHeader('x-draining', 'true');
-		}
-
-		sendJson(response, status, {message: 'Not run'});
+	#createRefusal(): Refusal {
+		return {
+			server: this.#options.name,
+			load: this.loadReport.load,
+			isDraining: this.isDraining,
+		};
 	}
 
 	#answerProbe(response: ServerResponse): void {
@@ -275,13 +235,6 @@
 			inFlight,
 		);
 	}
-
-	#computeServiceTime(): Milliseconds {
-		const {serviceTime, coldSpan, coldFactor} = this.#options;
-		const age = this.#clock.now() - this.#startedAt;
-		const coldness = coldSpan === 0 ? 0 : Math.max(0, 1 - age / coldSpan);
-		return serviceTime * (1 + (coldFactor - 1) * coldness);
-	}
 }
 
 /**
@@ -296,43 +249,9 @@
  * await server.close();
  */
 export async function createBackendServer(
-	options: Endpoint & {readonly name: string} & Partial<BackendServerOptions>,
+	options: GivenBackendServerOptions,
 ): Promise<BackendServer> {
-	const slots = options.slots ?? 4;
-	const server = new BackendServer({
-		slots,
-		queueLength: slots,
-		connections: 330,
-		serviceTime: 5,
-		connectCost: 1,
-		probeCost: 1,
-		coldSpan: 0,
-		coldFactor: 4,
-		controlPort: 0,
-		...options,
-	});
+	const server = new BackendServer(createBackendServerOptions(options));
 	await server.start();
 	return server;
 }
-
-function startDeadline(
-	request: IncomingMessage,
-	abort: AbortController,
-	faults: BackendFaults,
-): NodeJS.Timeout | undefined {
-	const remaining = Number(getHeader(request, 'x-deadline-ms'));
-	if (!Number.isFinite(remaining) || faults.mode !== 'none') {
-		return undefined;
-	}
-
-	return setTimeout(() => {
-		abort.abort(new AbortReason('deadline-exceeded'));
-	}, remaining);
-}
-
-function runBusily(clock: Clock, span: Milliseconds): void {
-	const end = clock.now() + span;
-	while (clock.now() < end) {
-		// Occupies the processor, as real work would.
-	}
-}
--- a/packages/stand-ins/src/object-store-call.ts
+++ b/packages/stand-ins/src/object-store-call.ts
@@ -29,6 +29,12 @@
 
 export type ObjectStoreCall = DataCall | ControlCall;
 
+/** The call of one kind. */
+export type CallOf<Kind extends CallKind> = Extract<
+	ObjectStoreCall,
+	{kind: Kind}
+>;
+
 export type CallKind = ObjectStoreCall['kind'];
 
 const controlKinds: ReadonlySet<CallKind> = new Set<CallKind>([
@@ -46,6 +52,11 @@
 	return controlKinds.has(call.kind);
 }
 
+/** Whether a call counts against the rate of writes. */
+export function isWrite(kind: CallKind): boolean {
+	return kind === 'write' || kind === 'delete';
+}
+
 /** The call that a request makes. */
 export function parseCall(request: IncomingMessage): ObjectStoreCall {
 	const url = new URL(request.url ?? '/', 'http://object-store');
--- /dev/null
+++ b/packages/stand-ins/src/object-store-data.ts
@@ -0,0 +1,156 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {HostList} from './host-list.js';
+import {parseJson, readBody, sendJson, sendStatus} from './http-json.js';
+import type {CallOf, DataCall} from './object-store-call.js';
+import type {
+	ObjectStoreFaultMode,
+	ObjectStoreFaultSwitch,
+} from './object-store-faults.js';
+import {StoredObjects, type ObjectState} from './stored-objects.js';
+import {Waiters} from './waiters.js';
+
+const maximumValueBytes = 1_048_576;
+/** The name under which watches of the host list wait; objects have names. */
+const hostsKey = '';
+
+/** The objects and the host list, and the answers to calls for them. */
+export class ObjectStoreData {
+	readonly hosts = new HostList(() => {
+		this.#waiters.emit(hostsKey);
+	});
+
+	readonly #objects = new StoredObjects();
+	readonly #waiters = new Waiters();
+	readonly #faults: ObjectStoreFaultSwitch;
+
+	constructor(faults: ObjectStoreFaultSwitch) {
+		this.#faults = faults;
+	}
+
+	close(): void {
+		this.hosts.close();
+		this.#waiters.close();
+	}
+
+	async handle(
+		call: DataCall,
+		mode: ObjectStoreFaultMode,
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		switch (call.kind) {
+			case 'read': {
+				this.#sendObject(response, call.name, this.#read(call.name, mode));
+				break;
+			}
+
+			case 'watch': {
+				await this.#handleWatch(call, response);
+				break;
+			}
+
+			case 'list': {
+				sendJson(response, 200, {objects: this.#objects.list(call.prefix)});
+				break;
+			}
+
+			case 'write':
+			case 'delete': {
+				await this.#handleChange(call, mode, request, response);
+				break;
+			}
+
+			case 'list-hosts': {
+				sendJson(response, 200, this.hosts.published);
+				break;
+			}
+
+			case 'watch-hosts': {
+				await this.#handleHostsWatch(call, response);
+				break;
+			}
+		}
+	}
+
+	async #handleChange(
+		call: CallOf<'write'> | CallOf<'delete'>,
+		mode: ObjectStoreFaultMode,
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		const body = await readBody(request, maximumValueBytes);
+		const text = call.kind === 'write' ? body.toString() : undefined;
+		if (text !== undefined) {
+			parseJson(text);
+		}
+
+		const result = this.#objects.update(call.name, call.expected, text);
+		if (result.kind === 'changed') {
+			this.#waiters.emit(call.name);
+		}
+
+		if (mode === 'lose-answers') {
+			response.destroy();
+			return;
+		}
+
+		const status = result.kind === 'changed' ? 200 : 409;
+		sendJson(response, status, {version: result.version});
+	}
+
+	async #handleWatch(
+		call: CallOf<'watch'>,
+		response: ServerResponse,
+	): Promise<void> {
+		const end = performance.now() + call.wait;
+		for (;;) {
+			const state = this.#read(call.name, this.#faults.current.mode);
+			if (state.text !== undefined && state.version > call.after) {
+				this.#sendObject(response, call.name, state);
+				return;
+			}
+
+			const rest = end - performance.now();
+			if (rest <= 0 || response.destroyed) {
+				sendStatus(response, 304);
+				return;
+			}
+
+			await this.#waiters.wait(call.name, rest);
+		}
+	}
+
+	async #handleHostsWatch(
+		call: CallOf<'watch-hosts'>,
+		response: ServerResponse,
+	): Promise<void> {
+		if (this.hosts.published.version <= call.after) {
+			await this.#waiters.wait(hostsKey, call.wait);
+		}
+
+		if (this.hosts.published.version > call.after) {
+			sendJson(response, 200, this.hosts.published);
+		} else {
+			sendStatus(response, 304);
+		}
+	}
+
+	#read(name: string, mode: ObjectStoreFaultMode): ObjectState {
+		return mode === 'stale-reads'
+			? this.#objects.getPrevious(name)
+			: this.#objects.get(name);
+	}
+
+	#sendObject(
+		response: ServerResponse,
+		name: string,
+		{version, text}: ObjectState,
+	): void {
+		if (text === undefined) {
+			sendJson(response, 404, {message: 'No such object'});
+			return;
+		}
+
+		sendJson(response, 200, {name, version, value: parseJson(text)});
+	}
+}
--- a/packages/stand-ins/src/object-store.ts
+++ b/packages/stand-ins/src/object-store.ts
@@ -13,31 +13,26 @@
 	type Milliseconds,
 } from '@parsleyvale/shared';
 import {CallRate} from './call-rate.js';
-import {HostList} from './host-list.js';
 import {
 	BodyTooLargeError,
 	MalformedBodyError,
-	parseJson,
-	readBody,
 	readChecked,
 	sendJson,
-	sendStatus,
 } from './http-json.js';
 import {startListening, stopListening} from './http-listener.js';
 import {
 	parseCall,
 	isControlCall,
+	isWrite,
 	type CallKind,
 	type ControlCall,
-	type DataCall,
-	type ObjectStoreCall,
 } from './object-store-call.js';
+import {ObjectStoreData} from './object-store-data.js';
 import {
+	ObjectStoreFaultSwitch,
 	objectStoreFaultsSchema,
 	type ObjectStoreFaults,
 } from './object-store-faults.js';
-import {StoredObjects, type ObjectState} from './stored-objects.js';
-import {Waiters} from './waiters.js';
 
 export type ObjectStoreOptions = Endpoint & {
 	readonly writesPerSecond: number;
@@ -46,34 +41,19 @@
 	readonly clock: Clock;
 };
 
-type Call<Kind extends CallKind> = Extract<ObjectStoreCall, {kind: Kind}>;
-
-const maximumValueBytes = 1_048_576;
 const maximumControlBytes = 65_536;
 const keepAliveTimeout: Milliseconds = 60_000;
-/** The name under which watches of the host list wait; objects have names. */
-const hostsKey = '';
-
-const writeKinds: ReadonlySet<CallKind> = new Set<CallKind>([
-	'write',
-	'delete',
-]);
 
 /** The platform's object API in memory, with faults on command. */
 export class ObjectStore {
 	readonly #options: ObjectStoreOptions;
 	readonly #server: Server;
-	readonly #objects = new StoredObjects();
-	readonly #waiters = new Waiters();
-	readonly #hosts = new HostList(() => {
-		this.#waiters.emit(hostsKey);
-	});
-
+	readonly #faults = new ObjectStoreFaultSwitch();
+	readonly #data = new ObjectStoreData(this.#faults);
 	readonly #writes: CallRate;
 	readonly #reads: CallRate;
 	readonly #counts = new Map<CallKind | 'refused', number>();
 	readonly #open = new Set<ServerResponse>();
-	#faults: ObjectStoreFaults = objectStoreFaultsSchema.parse({mode: 'none'});
 	#endpoint: Endpoint;
 
 	constructor(options: ObjectStoreOptions) {
@@ -100,8 +80,7 @@
 	}
 
 	async close(): Promise<void> {
-		this.#hosts.close();
-		this.#waiters.close();
+		this.#data.close();
 		await stopListening(this.#server);
 	}
 
@@ -143,125 +122,22 @@
 			return;
 		}
 
-		const mode = this.#takeFault(call.kind);
+		const mode = this.#faults.take(call.kind);
 		if (mode === 'down') {
 			response.destroy();
 			return;
 		}
 
-		const rate = writeKinds.has(call.kind) ? this.#writes : this.#reads;
+		const rate = isWrite(call.kind) ? this.#writes : this.#reads;
 		if (!rate.take()) {
 			this.#count('refused');
 			sendJson(response, 429, {message: 'Too many calls'});
 			return;
 		}
 
-		const slowness = mode === 'slow' ? this.#faults.delayMs : 0;
+		const slowness = mode === 'slow' ? this.#faults.current.delayMs : 0;
 		await wait(this.#options.latency + slowness);
-		await this.#handleData(call, mode, request, response);
-	}
-
-	async #handleData(
-		call: DataCall,
-		mode: ObjectStoreFaults['mode'],
-		request: IncomingMessage,
-		response: ServerResponse,
-	): Promise<void> {
-		switch (call.kind) {
-			case 'read': {
-				this.#sendObject(response, call.name, this.#read(call.name, mode));
-				break;
-			}
-
-			case 'watch': {
-				await this.#handleWatch(call, response);
-				break;
-			}
-
-			case 'list': {
-				sendJson(response, 200, {objects: this.#objects.list(call.prefix)});
-				break;
-			}
-
-			case 'write':
-			case 'delete': {
-				await this.#handleChange(call, mode, request, response);
-				break;
-			}
-
-			case 'list-hosts': {
-				sendJson(response, 200, this.#hosts.published);
-				break;
-			}
-
-			case 'watch-hosts': {
-				await this.#handleHostsWatch(call, response);
-				break;
-			}
-		}
-	}
-
-	async #handleChange(
-		call: Call<'write'> | Call<'delete'>,
-		mode: ObjectStoreFaults['mode'],
-		request: IncomingMessage,
-		response: ServerResponse,
-	): Promise<void> {
-		const body = await readBody(request, maximumValueBytes);
-		const text = call.kind === 'write' ? body.toString() : undefined;
-		if (text !== undefined) {
-			parseJson(text);
-		}
-
-		const result = this.#objects.update(call.name, call.expected, text);
-		if (result.kind === 'changed') {
-			this.#waiters.emit(call.name);
-		}
-
-		if (mode === 'lose-answers') {
-			response.destroy();
-			return;
-		}
-
-		const status = result.kind === 'changed' ? 200 : 409;
-		sendJson(response, status, {version: result.version});
-	}
-
-	async #handleWatch(
-		call: Call<'watch'>,
-		response: ServerResponse,
-	): Promise<void> {
-		const end = performance.now() + call.wait;
-		for (;;) {
-			const state = this.#read(call.name, this.#faults.mode);
-			if (state.text !== undefined && state.version > call.after) {
-				this.#sendObject(response, call.name, state);
-				return;
-			}
-
-			const rest = end - performance.now();
-			if (rest <= 0 || response.destroyed) {
-				sendStatus(response, 304);
-				return;
-			}
-
-			await this.#waiters.wait(call.name, rest);
-		}
-	}
-
-	async #handleHostsWatch(
-		call: Call<'watch-hosts'>,
-		response: ServerResponse,
-	): Promise<void> {
-		if (this.#hosts.published.version <= call.after) {
-			await this.#waiters.wait(hostsKey, call.wait);
-		}
-
-		if (this.#hosts.published.version > call.after) {
-			sendJson(response, 200, this.#hosts.published);
-		} else {
-			sendStatus(response, 304);
-		}
+		await this.#data.handle(call, mode, request, response);
 	}
 
 	async #handleControl(
@@ -276,13 +152,13 @@
 					maximumControlBytes,
 					entryHostSchema,
 				);
-				this.#hosts.set(call.name, host);
+				this.#data.hosts.set(call.name, host);
 				sendJson(response, 200, host);
 				break;
 			}
 
 			case 'remove-host': {
-				this.#hosts.remove(call.name);
+				this.#data.hosts.remove(call.name);
 				sendJson(response, 200, {});
 				break;
 			}
@@ -310,8 +186,8 @@
 	}
 
 	#setFaults(faults: ObjectStoreFaults): void {
-		this.#faults = faults;
-		this.#hosts.lag = faults.listLagMs ?? this.#hosts.lag;
+		this.#faults.set(faults);
+		this.#data.hosts.lag = faults.listLagMs ?? this.#data.hosts.lag;
 		if (faults.mode !== 'down') {
 			return;
 		}
@@ -323,40 +199,6 @@
 		}
 	}
 
-	/** The fault that this call meets, counted where it is bounded. */
-	#takeFault(kind: CallKind): ObjectStoreFaults['mode'] {
-		const {mode, count} = this.#faults;
-		const isMet = mode !== 'lose-answers' || writeKinds.has(kind);
-		if (count === undefined || !isMet) {
-			return mode;
-		}
-
-		this.#faults =
-			count === 1
-				? {...this.#faults, mode: 'none', count: undefined}
-				: {...this.#faults, count: count - 1};
-		return mode;
-	}
-
-	#read(name: string, mode: ObjectStoreFaults['mode']): ObjectState {
-		return mode === 'stale-reads'
-			? this.#objects.getPrevious(name)
-			: this.#objects.get(name);
-	}
-
-	#sendObject(
-		response: ServerResponse,
-		name: string,
-		{version, text}: ObjectState,
-	): void {
-		if (text === undefined) {
-			sendJson(response, 404, {message: 'No such object'});
-			return;
-		}
-
-		sendJson(response, 200, {name, version, value: parseJson(text)});
-	}
-
 	#count(kind: CallKind | 'refused'): void {
 		this.#counts.set(kind, (this.#counts.get(kind) ?? 0) + 1);
 	}
