--- a/packages/acceptance/src/fleet.ts
+++ b/packages/acceptance/src/fleet.ts
@@ -178,6 +178,21 @@
 		throw new Error(`${host.place.name} did not become ready.`);
 	}
 
+	/** Waits until this host takes so many entry hosts as live. */
+	async waitUntilLive(host: Host, count: number): Promise<void> {
+		for (let tries = 0; tries < readyTries; tries++) {
+			const status = await this.callHost(host, 'GET', '/status');
+			const {hosts} = status as {hosts: Array<{live: boolean}>};
+			if (hosts.filter((entry) => entry.live).length === count) {
+				return;
+			}
+
+			await wait(readyInterval);
+		}
+
+		throw new Error(`${host.place.name} did not see ${count} live hosts.`);
+	}
+
 	/** Where callers reach a host. */
 	toUrl(host: Host, target: string): string {
 		return `http://${host.place.address}:${host.line.callers}${target}`;
--- a/packages/acceptance/src/index.ts
+++ b/packages/acceptance/src/index.ts
@@ -18,3 +18,5 @@
 	type Sample,
 	type SampleRegion,
 } from './sample.js';
+export {sendRaw, type RawAnswers} from './raw-exchange.js';
+export {Caller, type CallOutcome, type CallerOptions} from './caller.js';
--- a/packages/acceptance/src/sample.ts
+++ b/packages/acceptance/src/sample.ts
@@ -144,7 +144,11 @@
 	);
 	const configuration = toSampleConfiguration(servers);
 	await fleet.applyConfiguration(hosts[0]!, 0, configuration);
-	await Promise.all(hosts.map(async (host) => fleet.waitUntilReady(host)));
+	for (const host of hosts) {
+		await fleet.waitUntilReady(host);
+		await fleet.waitUntilLive(host, hosts.length);
+	}
+
 	return {
 		servers: servers.map((server) => server.child),
 		hosts,
--- a/packages/daemon/src/caller-header.ts
+++ b/packages/daemon/src/caller-header.ts
@@ -129,6 +129,7 @@
 	const listed = listConnectionNames(fields);
 	return (
 		!repeated &&
+		fields.names.includes('host') &&
 		// Some servers read X_Customer and X-Customer as one name.
 		!fields.names.some((name) => name.includes('_')) &&
 		!listed.some((name) => neverConnectionListed.has(name))
--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -49,7 +49,8 @@
 			requestTimeout: 0,
 			headersTimeout: headerTimeout,
 			keepAliveTimeout,
-			requireHostHeader: true,
+			// The check of the header refuses with the same answer as others.
+			requireHostHeader: false,
 		});
 		this.#server.on('request', (request, response) => {
 			void this.#take(request, response, false);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,9 +6,11 @@
 	type ConfigurationPlugin,
 } from '@parsleyvale/configuration';
 import {
+	budgetsKey,
 	configurationKey,
 	createKernel,
 	membershipKey,
+	toCustomerBudgetId,
 	type Kernel,
 	type Log,
 } from '@parsleyvale/kernel';
@@ -67,6 +69,7 @@
 	#store!: StoreEdge;
 	#ticker: NodeJS.Timeout | undefined;
 	#isStopping = false;
+	#hasShare = false;
 
 	constructor(settings: Settings) {
 		this.#settings = settings;
@@ -255,7 +258,21 @@
 	}
 
 	#isReady(): boolean {
-		return !this.#isStopping && this.#getConfiguration().version > 0;
+		this.#hasShare ||= this.#findShare();
+		return !this.#isStopping && this.#hasShare;
+	}
+
+	/** A host that holds no share of any rate could only refuse (issue 6). */
+	#findShare(): boolean {
+		const {version, configuration} = this.#getConfiguration();
+		const budgets = this.#kernel.inject(budgetsKey);
+		const now = this.#clock.now();
+		return (
+			version > 0 &&
+			configuration.customers.every(
+				({name}) => budgets.getAvailable(toCustomerBudgetId(name), now) > 0,
+			)
+		);
 	}
 
 	#getConfiguration(): VersionedConfiguration {
