--- a/packages/routing/src/routing-plugin.ts
+++ b/packages/routing/src/routing-plugin.ts
@@ -27,7 +27,7 @@
 	readonly safeguards?: Partial<Safeguards>;
 };
 
-const defaultChooser: ChooserName = 'least-in-flight-of-two';
+const defaultChooser: ChooserName = 'latency-and-in-flight';
 
 type Parts = {
 	readonly hostName: EntryHostName;
--- a/packages/routing/src/servers/server-state.ts
+++ b/packages/routing/src/servers/server-state.ts
@@ -6,6 +6,9 @@
 
 const averageLifetime: Milliseconds = 10 * second;
 
+/** How much a reported request weighs against one of this host's own. */
+const reportWeight = 0.25;
+
 /** What this host knows of one backend server. */
 export class ServerState {
 	/** Whether the server is drained or leaving. */
@@ -45,7 +48,7 @@
 
 	/** Own requests in flight, and those of others as far as known. */
 	getLoad(now: Milliseconds): number {
-		return this.inFlight + this.reportedLoad.getOthers(now);
+		return this.inFlight + reportWeight * this.reportedLoad.getOthers(now);
 	}
 
 	/** Whether attempts run there and none has ended for so long. */
