--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,3 +4,9 @@
 	createRouting,
 	type RoutingOptions,
 } from './routing-plugin.js';
+export {
+	checkDrain,
+	type DrainShortfall,
+	type DrainVerdict,
+	type RegionLoad,
+} from './check-drain.js';
