Refuse a deadline that no region can meet, also where none is known

Cause: a new test showed that a request whose deadline was too short for its own region went to a farther one, since a region without samples was taken to need no time at all. Change: such a region is taken to need the shortest time known for the pool. The ways of a pool are now sorted once for each configuration, not for each request.

--- a/packages/routing/src/placer.ts
+++ b/packages/routing/src/placer.ts
@@ -145,7 +145,7 @@
 		shift: Shift | undefined,
 	): Placement | Obstacle {
 		const {request, context} = attempt;
-		if (isTooFar(request, way, context)) {
+		if (isTooFar(attempt, way)) {
 			return 'too-far';
 		}
 
@@ -226,11 +226,8 @@
 }
 
 /** Whether way and typical service time do not fit before the deadline. */
-function isTooFar(
-	request: RoutingRequest,
-	way: RegionWay,
-	context: Context,
-): boolean {
-	const serviceTime = way.region.serviceTime.get(context.now) ?? 0;
+function isTooFar(attempt: Attempt, way: RegionWay): boolean {
+	const {request, pool, context} = attempt;
+	const serviceTime = pool.getServiceTime(way.region, context.now);
 	return context.now + way.roundTrip + serviceTime > request.deadline;
 }
--- a/packages/routing/src/pool-state.ts
+++ b/packages/routing/src/pool-state.ts
@@ -69,6 +69,19 @@
 		}
 	}
 
+	/** The region's own service time, or else the shortest one known. */
+	getServiceTime(region: RegionServers, now: Milliseconds): Milliseconds {
+		const own = region.serviceTime.get(now);
+		if (own !== undefined) {
+			return own;
+		}
+
+		const known = [...this.regions.values()].flatMap(
+			(other) => other.serviceTime.get(now) ?? [],
+		);
+		return known.length === 0 ? 0 : Math.min(...known);
+	}
+
 	#getRegion(name: RegionName): RegionServers {
 		const found = this.regions.get(name);
 		if (found !== undefined) {
--- a/packages/routing/src/routing-table.ts
+++ b/packages/routing/src/routing-table.ts
@@ -27,6 +27,7 @@
 	readonly #createChooser: () => Chooser;
 	readonly #safeguards: Safeguards;
 	readonly #leaving = new Set<ServerName>();
+	readonly #ways = new WeakMap<PoolState, RegionWay[]>();
 	#viewpoint: Viewpoint;
 
 	constructor(options: {
@@ -73,7 +74,11 @@
 	}
 
 	/** The regions with servers for the pool, nearest first. */
-	listWays(pool: PoolState): RegionWay[] {
+	listWays(pool: PoolState): readonly RegionWay[] {
+		return this.#ways.get(pool) ?? [];
+	}
+
+	#computeWays(pool: PoolState): RegionWay[] {
 		const ways: RegionWay[] = [];
 		for (const region of pool.regions.values()) {
 			const roundTrip = this.topology?.findRegionRoundTrip(
@@ -113,6 +118,7 @@
 				coldSince,
 				viewpoint: this.#viewpoint,
 			});
+			this.#ways.set(state, this.#computeWays(state));
 		}
 	}
 }
