Owe the bytes of large bodies to the link

A body above a link's burst (250 ms of its rate) could never be taken and such a request would have waited for a region in vain. A request now takes at most 256 KiB at once and the rest is owed by the requests after it; a body of unknown length is owed to the way there.

--- a/packages/routing/src/link-bytes.ts
+++ b/packages/routing/src/link-bytes.ts
@@ -6,54 +6,79 @@
 const unknownBodyBytes = 16 * 1024;
 /** Bytes. Reserved for an answer. */
 const answerBytes = 16 * 1024;
+/**
+ * Bytes. The most that one request takes from a link at once; a larger amount
+ * might never fit into the link's burst. The rest is owed.
+ */
+const mostAtOnce = 256 * 1024;
 
-/** What goes over the links between two regions for one request. */
+/** The two regions that a request goes between, and its body. */
+export type LinkUse = {
+	readonly from: RegionName;
+	readonly to: RegionName;
+	readonly bodyBytes: number | undefined;
+};
+
+/** What goes over the links between regions, and what is owed to them. */
 export class LinkBytes {
-	/** Bytes that went over a link beyond what was reserved. */
 	readonly #debts = new Map<string, number>();
 
-	/** What the request has to reserve, earlier excess included. */
-	toAmounts(
-		from: RegionName,
-		to: RegionName,
-		bodyBytes: number | undefined,
-	): BudgetAmount[] {
-		if (from === to) {
+	/** What the request has to take now, a part of earlier debts included. */
+	toAmounts(use: LinkUse): BudgetAmount[] {
+		if (use.from === use.to) {
 			return [];
 		}
 
-		const there = toLinkBudgetId(from, to);
-		const back = toLinkBudgetId(to, from);
-		const body = bodyBytes ?? unknownBodyBytes;
-		return [
-			{budgetId: there, amount: Math.max(1, body)},
-			{budgetId: back, amount: answerBytes + (this.#debts.get(back) ?? 0)},
-		];
+		return listNeeds(use).map(({budgetId, amount}) => ({
+			budgetId,
+			amount: Math.min(mostAtOnce, amount + this.#getDebt(budgetId)),
+		}));
 	}
 
-	/** The amounts were taken: the excess is paid. */
-	onTaken(amounts: readonly BudgetAmount[]): void {
-		for (const {budgetId} of amounts) {
-			this.#debts.delete(budgetId);
+	/** The amounts were taken: what they do not cover is owed. */
+	onTaken(use: LinkUse, amounts: readonly BudgetAmount[]): void {
+		for (const need of listNeeds(use)) {
+			const taken = amounts.find(({budgetId}) => budgetId === need.budgetId);
+			if (taken !== undefined) {
+				this.#addDebt(need.budgetId, need.amount - taken.amount);
+			}
 		}
 	}
 
-	/** Remembers what an attempt moved beyond its reservation. */
-	onEnded(
-		from: RegionName,
-		to: RegionName,
-		bodyBytes: number | undefined,
-		bytes: number,
-	): void {
-		if (from === to) {
+	/** An attempt moved so many bytes; those not foreseen are owed. */
+	onEnded(use: LinkUse, bytes: number): void {
+		if (use.from === use.to) {
 			return;
 		}
 
-		const reserved = (bodyBytes ?? unknownBodyBytes) + answerBytes;
-		const excess = bytes - reserved;
+		const body = use.bodyBytes ?? unknownBodyBytes;
+		const excess = bytes - body - answerBytes;
+		const isUpload = use.bodyBytes === undefined;
 		if (excess > 0) {
-			const back = toLinkBudgetId(to, from);
-			this.#debts.set(back, (this.#debts.get(back) ?? 0) + excess);
+			this.#addDebt(
+				isUpload
+					? toLinkBudgetId(use.from, use.to)
+					: toLinkBudgetId(use.to, use.from),
+				excess,
+			);
 		}
 	}
+
+	#getDebt(budgetId: string): number {
+		return this.#debts.get(budgetId) ?? 0;
+	}
+
+	#addDebt(budgetId: string, amount: number): void {
+		this.#debts.set(budgetId, Math.max(0, this.#getDebt(budgetId) + amount));
+	}
+}
+
+function listNeeds(use: LinkUse): BudgetAmount[] {
+	return [
+		{
+			budgetId: toLinkBudgetId(use.from, use.to),
+			amount: Math.max(1, use.bodyBytes ?? unknownBodyBytes),
+		},
+		{budgetId: toLinkBudgetId(use.to, use.from), amount: answerBytes},
+	];
 }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -1,6 +1,7 @@
 import type {Choice, RoutingRequest} from '@parsleyvale/kernel';
 import type {Milliseconds, Shift} from '@parsleyvale/shared';
 import type {BudgetAmount} from './holds.js';
+import type {LinkUse} from './link-bytes.js';
 import type {PoolState} from './pool-state.js';
 import type {RegionServers} from './servers/region-servers.js';
 import type {ServerState} from './servers/server-state.js';
@@ -16,6 +17,7 @@
 	readonly roundTrip: Milliseconds;
 	/** The shift that moved the request. */
 	readonly shift: Shift | undefined;
+	readonly use: LinkUse;
 	/** Comes back when the attempt ends. */
 	readonly room: readonly BudgetAmount[];
 	/** Shift and link budgets; they stay taken. */
--- a/packages/routing/src/placer.ts
+++ b/packages/routing/src/placer.ts
@@ -12,7 +12,7 @@
 } from '@parsleyvale/shared';
 import type {Random} from './choosers/chooser.js';
 import {takeAll, type BudgetAmount} from './holds.js';
-import type {LinkBytes} from './link-bytes.js';
+import type {LinkBytes, LinkUse} from './link-bytes.js';
 import type {Placement} from './placement.js';
 import type {PoolState} from './pool-state.js';
 import {toRoomId, type HostRank, type Rooms} from './rooms.js';
@@ -164,13 +164,18 @@
 		const room = this.#options.safeguards.roomBudget
 			? [{budgetId: toRoomId(way.region), amount: 1}]
 			: [];
-		const rates = this.#listRates(request, way, shift);
+		const use: LinkUse = {
+			from: this.#options.ownRegion,
+			to: way.region.region,
+			bodyBytes: request.bodyBytes,
+		};
+		const rates = this.#listRates(use, shift);
 		const taken = takeAll(this.#options.budgets, [...room, ...rates], context);
 		if (taken.kind === 'failed') {
 			return 'busy';
 		}
 
-		this.#options.links.onTaken(rates);
+		this.#options.links.onTaken(use, rates);
 		return {
 			choice: {server: found.state.server, held: [...room, ...rates]},
 			request,
@@ -179,6 +184,7 @@
 			state: found.state,
 			roundTrip: this.#findRoundTrip(way, found.state.server),
 			shift,
+			use,
 			room,
 			rates,
 			startedAt: context.now,
@@ -194,17 +200,10 @@
 		);
 	}
 
-	#listRates(
-		request: RoutingRequest,
-		way: RegionWay,
-		shift: Shift | undefined,
-	): BudgetAmount[] {
-		const bytes = this.#options.links.toAmounts(
-			this.#options.ownRegion,
-			way.region.region,
-			request.bodyBytes,
-		);
-		return shift !== undefined && this.#options.safeguards.shiftBudget
+	#listRates(use: LinkUse, shift: Shift | undefined): BudgetAmount[] {
+		const {links, safeguards} = this.#options;
+		const bytes = links.toAmounts(use);
+		return shift !== undefined && safeguards.shiftBudget
 			? [{budgetId: toShiftBudgetId(shift.name), amount: 1}, ...bytes]
 			: bytes;
 	}
--- a/packages/routing/src/request-router.ts
+++ b/packages/routing/src/request-router.ts
@@ -6,7 +6,7 @@
 	type Ending,
 	type RoutingRequest,
 } from '@parsleyvale/kernel';
-import {ErrorKind, type RegionName, type Route} from '@parsleyvale/shared';
+import {ErrorKind, type Route} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
 import {giveBackAll} from './holds.js';
 import type {LinkBytes} from './link-bytes.js';
@@ -33,7 +33,6 @@
 	readonly waiters: Waiters;
 	readonly links: LinkBytes;
 	readonly safeguards: Safeguards;
-	readonly ownRegion: RegionName;
 };
 
 /** The router: places attempts and learns from how they end. */
@@ -129,19 +128,14 @@
 	}
 
 	#release(placement: Placement, ending: Ending, context: Context): void {
-		const {region, state, request} = placement;
+		const {region, state} = placement;
 		region.onEnded(state);
 		giveBackAll(this.#options.budgets, placement.room, context.now);
 		if (!this.#options.safeguards.ratesStay && ending.outcome === 'not-sent') {
 			giveBackAll(this.#options.budgets, placement.rates, context.now);
 		}
 
-		this.#options.links.onEnded(
-			this.#options.ownRegion,
-			region.region,
-			request.bodyBytes,
-			ending.bytes,
-		);
+		this.#options.links.onEnded(placement.use, ending.bytes);
 	}
 
 	#applyOutcome(placement: Placement, ending: Ending, context: Context): void {
