Let keys name the host that remembers them; match no path with dot segments

Cause: keyed purchases were refused while the store is down; and an open route's prefix could lead a server that resolves '..' to another route. Change: an Idempotency-Key may begin with a host's prefix; that process grants it from memory, other hosts ask it. Paths with dot segments, encoded or not, match no route. Excluded: ownership of key ranges by leases, which needs a fence at servers.

--- a/packages/requests/__tests__/claims.test.ts
+++ b/packages/requests/__tests__/claims.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {toKeyPrefix} from '../src/index.js';
 import {claimRetention, claimTimeout} from '../src/limits.js';
-import type {StoreFate} from './fake-store.js';
 import {Fleet, type FleetOptions} from './fleet.js';
 
 const answered = {isExecuted: true, repeatable: false};
@@ -15,9 +15,13 @@
 	return new Fleet({hosts: 2, safeguards});
 }
 
-function answerAll(fleet: Fleet, fate: StoreFate = 'done'): void {
+function answerAll(fleet: Fleet): void {
 	while (fleet.calls.length > 0) {
-		fleet.answerStore(0, fate);
+		fleet.answerStore(0, 'done');
+	}
+
+	while (fleet.messages.length > 0) {
+		fleet.deliverPeer(0, 1);
 	}
 }
 
@@ -135,3 +139,63 @@
 		expect(values).toEqual([null]);
 	});
 });
+
+describe('claims on keys that name a host', () => {
+	const [first] = createFleet().identities;
+	const named = {...purchase, idempotencyKey: `${toKeyPrefix(first!)}a`};
+
+	it('work at every host while the store is down, once', () => {
+		const fleet = createFleet();
+		fleet.isStoreDown = true;
+		expect(findKindOfRepeat(fleet, 1, named)).toEqual('sent');
+		expect(findKindOfRepeat(fleet, 0, named)).toEqual('duplicate-in-progress');
+		fleet.endAttempt(0, 'answered', answered);
+		answerAll(fleet);
+		expect(findKindOfRepeat(fleet, 0, named)).toEqual('duplicate-completed');
+		expect(findKindOfRepeat(fleet, 1, named)).toEqual('duplicate-completed');
+		const other = {...named, fingerprint: 'other'};
+		expect(findKindOfRepeat(fleet, 1, other)).toEqual('idempotency-key-reused');
+	});
+
+	it('are free again when no server took the request', () => {
+		const fleet = createFleet();
+		fleet.hosts[1]!.router.hasServer = false;
+		expect(findKindOfRepeat(fleet, 1, named)).toEqual('no-server');
+		expect(findKindOfRepeat(fleet, 0, named)).toEqual('sent');
+	});
+
+	it('have an unknown outcome for good when the host is gone', () => {
+		const fleet = createFleet();
+		fleet.send(0, named);
+		fleet.replaceHost(0);
+		expect(findKindOfRepeat(fleet, 0, named)).toEqual('outcome-unknown');
+		expect(findKindOfRepeat(fleet, 1, named)).toEqual('outcome-unknown');
+	});
+
+	it('are refused as not run while the host is frozen, and not run later', () => {
+		const fleet = createFleet();
+		fleet.setFrozen(0, true);
+		const requestId = fleet.send(1, named);
+		answerAll(fleet);
+		fleet.advance(claimTimeout);
+		const [seen] = fleet.oracle.requests;
+		expect([seen?.arrival.requestId, seen?.kind]).toEqual([
+			requestId,
+			'claim-unavailable',
+		]);
+		fleet.setFrozen(0, false);
+		answerAll(fleet);
+		expect(fleet.attempts.length).toEqual(0);
+		expect(findKindOfRepeat(fleet, 0, named)).toEqual('sent');
+	});
+
+	it('are remembered for the retention by their host, and not longer', () => {
+		const fleet = createFleet();
+		expect(findKindOfRepeat(fleet, 0, named)).toEqual('sent');
+		fleet.endAttempt(0, 'answered', answered);
+		fleet.advance(claimRetention - 1);
+		expect(findKindOfRepeat(fleet, 1, named)).toEqual('duplicate-completed');
+		fleet.advance(1);
+		expect(findKindOfRepeat(fleet, 1, named)).toEqual('sent');
+	});
+});
--- a/packages/requests/__tests__/fleet.ts
+++ b/packages/requests/__tests__/fleet.ts
@@ -10,6 +10,7 @@
 	type KernelEvent,
 	type ReadObject,
 	type RequestArrived,
+	type SendPeer,
 	type WriteObject,
 } from '@parsleyvale/kernel';
 import type {EntryHost, Milliseconds} from '@parsleyvale/shared';
@@ -53,6 +54,11 @@
 	isSpent: boolean;
 };
 
+type Message = {
+	readonly from: EntryHost;
+	readonly effect: SendPeer;
+};
+
 type StoreCall = {
 	readonly host: Host;
 	readonly call: ReadObject | WriteObject;
@@ -102,6 +108,7 @@
 	readonly store = new FakeStore();
 	readonly hosts: Host[] = [];
 	readonly calls: StoreCall[] = [];
+	readonly messages: Message[] = [];
 	readonly attempts: Attempt[] = [];
 	/** Attempts whose end was told though the server may still run them. */
 	readonly ghosts: Attempt[] = [];
@@ -177,6 +184,14 @@
 		}
 	}
 
+	/** Delivers one message between hosts, once or twice, or loses it. */
+	deliverPeer(index: number, times: 0 | 1 | 2): void {
+		const [next] = this.messages.splice(index % this.messages.length, 1);
+		for (let time = 0; time < times; time++) {
+			this.#deliverMessage(next);
+		}
+	}
+
 	/** Runs an attempt or not, and tells its host how it ended. */
 	endAttempt(
 		index: number,
@@ -303,6 +318,10 @@
 				this.answerStore(0, 'done');
 			}
 
+			while (this.messages.length > 0) {
+				this.deliverPeer(0, 1);
+			}
+
 			while (this.attempts.length > 0) {
 				const end = {isExecuted: true, repeatable: false};
 				this.endAttempt(0, 'answered', end);
@@ -327,6 +346,18 @@
 		}
 	}
 
+	#deliverMessage(message: Message | undefined): void {
+		const to = this.hosts.find(
+			({identity}) => identity.name === message?.effect.to,
+		);
+		if (message !== undefined && to !== undefined) {
+			const {topic, payload} = message.effect;
+			const {name, incarnation} = message.from;
+			const from = {name, incarnation};
+			this.deliver(to, {type: 'peer-message', from, topic, payload});
+		}
+	}
+
 	#startHost(at: number): void {
 		this.#incarnations++;
 		const host = createHost(
@@ -349,6 +380,10 @@
 			this.#onCancelled(effect);
 		}
 
+		if (type === 'send-peer') {
+			this.messages.push({from: host.identity, effect});
+		}
+
 		if (type === 'read-object' || type === 'write-object') {
 			this.calls.push({host, call: effect});
 		}
--- a/packages/requests/__tests__/operations.ts
+++ b/packages/requests/__tests__/operations.ts
@@ -1,5 +1,6 @@
 import type {AttemptOutcome} from '@parsleyvale/kernel';
 import * as fc from 'fast-check';
+import {toKeyPrefix} from '../src/index.js';
 import type {StoreFate} from './fake-store.js';
 import {Fleet, type FleetOptions} from './fleet.js';
 
@@ -35,6 +36,11 @@
 	| {readonly kind: 'store'; readonly index: number; readonly fate: StoreFate}
 	| IndexedOperation
 	| SwitchOperation
+	| {
+			readonly kind: 'peer';
+			readonly index: number;
+			readonly times: 0 | 1 | 2;
+	  }
 	| {readonly kind: 'store-down'; readonly isOn: boolean}
 	| {readonly kind: 'lend'; readonly index: number; readonly customer: string}
 	| {readonly kind: 'advance'; readonly span: number};
@@ -44,12 +50,17 @@
 const customers = ['lesson', 'school'];
 const keys = customers.map((customer) => `key:${customer}`);
 
+/** Keys of the first processes of two hosts. */
+const hostKeys = ['host-0.1', 'host-1.2'].map(
+	(incarnation) => `${toKeyPrefix({incarnation})}a`,
+);
+
 const send = fc.record({
 	kind: fc.constant('send' as const),
 	host: index,
 	path: fc.constantFrom('/purchases', '/purchases', '/entries', '/reports'),
 	keyHash: fc.constantFrom(...keys, ...keys, undefined),
-	idempotencyKey: fc.constantFrom('a', 'a', 'b', undefined),
+	idempotencyKey: fc.constantFrom('a', 'b', undefined, ...hostKeys),
 	fingerprint: fc.constantFrom('same', 'same', 'same', 'other'),
 	callerAddress: fc.constantFrom('10.0.0.1', '10.0.0.2'),
 });
@@ -84,6 +95,12 @@
 	),
 });
 
+const peer = fc.record({
+	kind: fc.constant('peer' as const),
+	index,
+	times: fc.constantFrom<0 | 1 | 2>(1, 1, 1, 2, 0),
+});
+
 const faults = fc.oneof(
 	fc.record({
 		kind: fc.constantFrom('repeat-end', 'ghost', 'replace', 'cancel'),
@@ -112,6 +129,7 @@
 		{weight: 5, arbitrary: send},
 		{weight: 4, arbitrary: endAttempt},
 		{weight: 5, arbitrary: store},
+		{weight: 4, arbitrary: peer},
 		{weight: 4, arbitrary: faults},
 	),
 	{minLength: 1, maxLength: 60, size: 'max'},
@@ -180,6 +198,11 @@
 			break;
 		}
 
+		case 'peer': {
+			fleet.deliverPeer(operation.index, operation.times);
+			break;
+		}
+
 		case 'store-down': {
 			fleet.isStoreDown = operation.isOn;
 			break;
--- /dev/null
+++ b/packages/requests/__tests__/request-checks.test.ts
@@ -0,0 +1,111 @@
+import {describe, it} from 'node:test';
+import {configurationSchema} from '@parsleyvale/shared';
+import {expect} from 'earl';
+import {CustomerTable} from '../src/customer-table.js';
+import {maximumCustomerLabels} from '../src/limits.js';
+import {RequestMetrics} from '../src/request-metrics.js';
+import {RouteTable} from '../src/route-table.js';
+import {SessionRecorder} from './session-recorder.js';
+
+const many = 2 * maximumCustomerLabels;
+const configuration = configurationSchema.parse({
+	customers: Array.from({length: many}, (_value, index) => ({
+		name: `customer-${index}`,
+		ratePerSecond: 2,
+		burst: 2,
+	})),
+	routes: [
+		{name: 'all', pathPrefix: '/'},
+		{name: 'entries', pathPrefix: '/entries'},
+		{name: 'sounds', pathPrefix: '/entries/sounds/'},
+	].map((route) => ({
+		...route,
+		methods: ['GET'],
+		pool: 'desk',
+		idempotent: true,
+		deadlineMs: 1000,
+	})),
+});
+
+const paths: ReadonlyArray<readonly [string, string | undefined]> = [
+	['/', 'all'],
+	['/entries', 'entries'],
+	['/entries/', 'entries'],
+	['/entries/tea', 'entries'],
+	['/entries/sounds', 'entries'],
+	['/entries/sounds/tea', 'sounds'],
+	['/entrieshidden', 'all'],
+	['/Entries', 'all'],
+	['/entries/tea..', 'entries'],
+	['/entries/...', 'entries'],
+	['/entries/../sales', undefined],
+	['/entries/..', undefined],
+	['/entries/./sales', undefined],
+	['/entries/%2e%2E/sales', undefined],
+	['/entries/.%2e/sales', undefined],
+	['/entries%2f..%2fsales', undefined],
+	[String.raw`/entries\..\sales`, undefined],
+	['/entries/..%5Csales', undefined],
+];
+
+describe('checks at arrival', () => {
+	it('match the longest prefix at a boundary, and no dot segments', () => {
+		const routes = new RouteTable(configuration);
+		for (const [path, name] of paths) {
+			expect([path, routes.getLongest(path)?.name]).toEqual([path, name]);
+		}
+	});
+
+	it('refuse before a configuration is in force', () => {
+		const session = new SessionRecorder();
+		const [refusal] = session.arrive(0, 'r1', {path: '/entries'});
+		expect(refusal).toEqual({
+			type: 'refuse',
+			requestId: 'r1',
+			kind: 'not-configured' as never,
+			retryAfter: undefined,
+		});
+	});
+
+	it('send nothing for a customer on an open route, whatever key comes', () => {
+		const session = new SessionRecorder();
+		session.configure(0);
+		const [forward] = session.arrive(1, 'r1', {path: '/reports'});
+		expect(forward?.type === 'forward' && forward.customer).toEqual(undefined);
+	});
+});
+
+describe('tables of customers', () => {
+	it('give labels to a bounded number of customers', () => {
+		const metrics = new RequestMetrics();
+		metrics.apply(configuration);
+		const labels = new Set<string>();
+		for (const {name} of configuration.customers) {
+			metrics.observe(
+				{route: undefined, customer: name, arrivedAt: 0},
+				undefined,
+				{
+					now: 0,
+					emit(effect) {
+						labels.add('labels' in effect ? effect.labels.customer! : '');
+					},
+					raise: () => undefined,
+				},
+			);
+		}
+
+		expect(labels.size).toEqual(maximumCustomerLabels + 1);
+		expect(labels.has('other')).toEqual(true);
+	});
+
+	it('call a customer over its rate only when this host took all of it', () => {
+		const customers = new CustomerTable();
+		customers.apply(configuration);
+		customers.countToken('customer-1', 0);
+		expect(customers.isOverRate('customer-1', 500)).toEqual(false);
+		customers.countToken('customer-1', 500);
+		expect(customers.isOverRate('customer-1', 600)).toEqual(true);
+		expect(customers.isOverRate('customer-1', 1500)).toEqual(true);
+		expect(customers.isOverRate('customer-1', 3500)).toEqual(false);
+	});
+});
--- a/packages/requests/__tests__/request-path.test.ts
+++ b/packages/requests/__tests__/request-path.test.ts
@@ -35,6 +35,7 @@
 	['claimsFirst', 'runs at most once'],
 	['readsBack', 'runs at most once for its key'],
 	['respectsClaims', 'runs at most once for its key'],
+	['asksOwner', 'runs at most once for its key'],
 	['releasesOnlyWhatDidNotRun', 'runs at most once for its key'],
 ];
 
--- a/packages/requests/src/claim-ledger.ts
+++ b/packages/requests/src/claim-ledger.ts
@@ -8,7 +8,7 @@
 } from '@parsleyvale/kernel';
 import {ErrorKind, type RequestId} from '@parsleyvale/shared';
 import {createClaimEntry, type ClaimEntry} from './claim-entry.js';
-import {toClaimName} from './claim-object.js';
+import {toClaimName, toEnding} from './claim-object.js';
 import {toLocalRefusal} from './claim-refusal.js';
 import {ClaimSettlement, type SettlementOptions} from './claim-settlement.js';
 import {maximumUnsettledClaims} from './limits.js';
@@ -78,7 +78,7 @@
 	onRequestEnded(event: RequestEnded, context: Context): void {
 		const entry = this.#entriesByRequest.get(event.requestId);
 		if (entry?.phase === 'completing') {
-			entry.ending = event.kind === undefined ? 'answered' : 'unknown';
+			entry.ending = toEnding(event.kind);
 			this.#settlement.start(entry, context);
 		}
 	}
--- a/packages/requests/src/claim-object.ts
+++ b/packages/requests/src/claim-object.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {Claim} from '@parsleyvale/kernel';
+import type {ErrorKind} from '@parsleyvale/shared';
 import {z} from 'zod';
 
 /** How a request ended that came with a claim. */
@@ -28,3 +29,8 @@
 		.digest('hex');
 	return `claims/${hash}`;
 }
+
+/** How a request with a claim ended that may have run. */
+export function toEnding(kind: ErrorKind | undefined): ClaimEnding {
+	return kind === undefined ? 'answered' : 'unknown';
+}
--- a/packages/requests/src/claim-refusal.ts
+++ b/packages/requests/src/claim-refusal.ts
@@ -27,7 +27,7 @@
 /** What a repeat hears of a claim in the store. */
 export function toRefusal(
 	found: ClaimObject,
-	claim: Claim,
+	claim: Pick<Claim, 'fingerprint'>,
 	liveHosts: readonly EntryHost[],
 ): ErrorKind {
 	if (found.fingerprint !== claim.fingerprint) {
--- a/packages/requests/src/claims-plugin.ts
+++ b/packages/requests/src/claims-plugin.ts
@@ -9,6 +9,8 @@
 	type Kernel,
 } from '@parsleyvale/kernel';
 import {ClaimLedger} from './claim-ledger.js';
+import {HostClaims} from './host-claims.js';
+import {findKeyOwner} from './key-owner.js';
 import {allSafeguards, type Safeguards} from './safeguards.js';
 
 export type ClaimsOptions = {
@@ -20,30 +22,52 @@
 	readonly safeguards?: Partial<Safeguards>;
 };
 
-class StoreClaims extends Claims {
-	readonly #ledger: ClaimLedger;
+/** Sends each claim to where its key is remembered. */
+class FleetClaims extends Claims {
+	readonly #stored: ClaimLedger;
+	readonly #remembered: HostClaims;
 
-	constructor(ledger: ClaimLedger) {
+	constructor(stored: ClaimLedger, remembered: HostClaims) {
 		super();
-		this.#ledger = ledger;
+		this.#stored = stored;
+		this.#remembered = remembered;
 	}
 
 	claim(claim: Claim, onClaimed: ClaimListener, context: Context): void {
-		this.#ledger.add(claim, onClaimed, context);
+		const owner = findKeyOwner(claim.idempotencyKey);
+		if (owner === undefined) {
+			this.#stored.add(claim, onClaimed, context);
+			return;
+		}
+
+		this.#remembered.add(claim, owner, onClaimed, context);
 	}
 
 	release(claim: Claim, context: Context): void {
-		this.#ledger.release(claim, context);
+		const owner = findKeyOwner(claim.idempotencyKey);
+		if (owner === undefined) {
+			this.#stored.release(claim, context);
+			return;
+		}
+
+		this.#remembered.release(claim, owner, context);
 	}
 
 	complete(claim: Claim, _context: Context): void {
-		this.#ledger.complete(claim);
+		const owner = findKeyOwner(claim.idempotencyKey);
+		if (owner === undefined) {
+			this.#stored.complete(claim);
+			return;
+		}
+
+		this.#remembered.complete(claim, owner);
 	}
 }
 
 class ClaimsPlugin extends Plugin {
 	readonly #safeguards: Safeguards;
 	#ledger: ClaimLedger | undefined;
+	#remembered: HostClaims | undefined;
 
 	constructor(options: ClaimsOptions) {
 		super();
@@ -55,17 +79,23 @@
 	}
 
 	override isBusy(): boolean {
-		return this.#ledger?.isBusy ?? false;
+		return [this.#ledger, this.#remembered].some((claims) => claims?.isBusy);
 	}
 
 	install(kernel: Kernel): void {
-		const ledger = new ClaimLedger({
+		const options = {
 			self: kernel.self,
 			membership: kernel.inject(membershipKey),
 			safeguards: this.#safeguards,
-		});
+		};
+		const ledger = new ClaimLedger(options);
+		const remembered = new HostClaims(options);
 		this.#ledger = ledger;
-		kernel.provide(claimsKey, new StoreClaims(ledger));
+		this.#remembered = remembered;
+		kernel.provide(claimsKey, new FleetClaims(ledger, remembered));
+		kernel.on('peer-message', (event, context) => {
+			remembered.onPeerMessage(event, context);
+		});
 		kernel.on('object-written', (event, context) => {
 			ledger.onWritten(event, context);
 		});
@@ -74,16 +104,18 @@
 		});
 		kernel.on('request-ended', (event, context) => {
 			ledger.onRequestEnded(event, context);
+			remembered.onRequestEnded(event, context);
 		});
 		kernel.on('tick', (_event, context) => {
 			ledger.onTick(context);
+			remembered.onTick(context);
 		});
 	}
 }
 
 /**
- * Claims on Idempotency-Keys, kept as one object per key in the platform's
- * store. Needs membership installed before.
+ * Claims on Idempotency-Keys: one object per key in the platform's store, or, for
+ * keys that name an entry host, that host's memory. Needs membership before.
  *
  * @example
  * kernel.use(createMembership()).use(createClaims());
--- a/packages/requests/src/limits.ts
+++ b/packages/requests/src/limits.ts
@@ -35,3 +35,6 @@
 
 /** Old claims removed at one tick. */
 export const claimRemovalsPerTick = 2;
+
+/** Claims that one host remembers itself at once. */
+export const maximumOwnedClaims = 100_000;
--- a/packages/requests/src/route-table.ts
+++ b/packages/requests/src/route-table.ts
@@ -1,5 +1,17 @@
 import type {Configuration, Route} from '@parsleyvale/shared';
 
+const slash = String.raw`(?:\/|\\|%2f|%5c)`;
+const dots = String.raw`(?:\.|%2e){1,2}`;
+const dotSegment = new RegExp(`${slash}${dots}(?:${slash}|$)`, 'i');
+
+/**
+ * Whether a server could read the path as one that another route covers. Such
+ * a path matches no route, so that an open route leads nowhere else.
+ */
+function hasDotSegment(path: string): boolean {
+	return dotSegment.test(path);
+}
+
 /** Whether the prefix covers the path at a boundary between segments. */
 function isCovered(path: string, prefix: string): boolean {
 	if (!path.startsWith(prefix)) {
@@ -30,6 +42,10 @@
 	 * table.getLongest('/orders/7')?.name; // 'orders'
 	 */
 	getLongest(path: string): Route | undefined {
+		if (hasDotSegment(path)) {
+			return undefined;
+		}
+
 		return this.#routes.find((route) => isCovered(path, route.pathPrefix));
 	}
 }
--- a/packages/requests/src/safeguards.ts
+++ b/packages/requests/src/safeguards.ts
@@ -24,6 +24,8 @@
 	readonly respectsClaims: boolean;
 	/** Only a claim whose request surely did not run is released. */
 	readonly releasesOnlyWhatDidNotRun: boolean;
+	/** A key that names another host is granted by that host alone. */
+	readonly asksOwner: boolean;
 	/** The scope of an Idempotency-Key is the customer. */
 	readonly scopesClaims: boolean;
 };
@@ -39,5 +41,6 @@
 	readsBack: true,
 	respectsClaims: true,
 	releasesOnlyWhatDidNotRun: true,
+	asksOwner: true,
 	scopesClaims: true,
 };
