Make the live request a class and build metric labels without spreading

Cause: 40 to 62 µs of kernel time for a request (arrived, started, ended; fakes; 300,000 requests; machine shared with other work), of which a profile put 17 µs in spreading into the live request's literal. Excluded: the garbage collector as a cause of its own; it fell along. Change: a class with fields; labels written out.

--- a/packages/requests/src/live-request.ts
+++ b/packages/requests/src/live-request.ts
@@ -4,53 +4,51 @@
 /** What a request waits for. */
 export type Stage = 'rate' | 'claim' | 'place' | 'attempt';
 
-/** A request between its arrival and its end. */
-export type LiveRequest = {
+/** What is known of a request that has passed its first checks. */
+export type RequestFacts = {
 	readonly arrival: RequestArrived;
 	readonly arrivedAt: Milliseconds;
 	readonly route: Route;
 	/** Undefined on routes open to all. */
 	readonly customer: string | undefined;
 	readonly deadline: Milliseconds;
-	stage: Stage;
+};
+
+/**
+ * A request between its arrival and its end. A class, because spreading the
+ * facts into an object literal dominated the profile of the request path.
+ */
+export class LiveRequest {
+	readonly arrival: RequestArrived;
+	readonly arrivedAt: Milliseconds;
+	readonly route: Route;
+	readonly customer: string | undefined;
+	readonly deadline: Milliseconds;
+	/** Servers that earlier attempts went to. */
+	readonly avoid: string[] = [];
+	stage: Stage = 'rate';
 	/** Number of the latest attempt; 0 before the first. */
-	attempt: number;
+	attempt = 0;
 	/** When the latest attempt was forwarded. */
-	forwardedAt: Milliseconds;
+	forwardedAt: Milliseconds = 0;
 	/** The place of the running attempt. */
-	choice: Choice | undefined;
-	/** Servers that earlier attempts went to. */
-	readonly avoid: string[];
+	choice: Choice | undefined = undefined;
 	/** Whether an attempt that is over may have run. */
-	mayHaveRun: boolean;
+	mayHaveRun = false;
 	/** Whether it holds a token of the customer's rate that is not yet spent. */
-	hasToken: boolean;
-	claim: Claim | undefined;
-	isClaimed: boolean;
+	hasToken = false;
+	claim: Claim | undefined = undefined;
+	isClaimed = false;
 	/** When it stops to wait for a share of the rate. */
-	shareDeadline: Milliseconds;
-};
+	shareDeadline: Milliseconds = 0;
 
-/** A request that has passed its first checks. */
-export function createLiveRequest(
-	fields: Pick<
-		LiveRequest,
-		'arrival' | 'arrivedAt' | 'route' | 'customer' | 'deadline'
-	>,
-): LiveRequest {
-	return {
-		...fields,
-		stage: 'rate',
-		attempt: 0,
-		forwardedAt: 0,
-		choice: undefined,
-		avoid: [],
-		mayHaveRun: false,
-		hasToken: false,
-		claim: undefined,
-		isClaimed: false,
-		shareDeadline: 0,
-	};
+	constructor(facts: RequestFacts) {
+		this.arrival = facts.arrival;
+		this.arrivedAt = facts.arrivedAt;
+		this.route = facts.route;
+		this.customer = facts.customer;
+		this.deadline = facts.deadline;
+	}
 }
 
 const kindsOfWaiting: Readonly<Record<Stage, ErrorKind>> = {
--- a/packages/requests/src/request-checks.ts
+++ b/packages/requests/src/request-checks.ts
@@ -1,7 +1,7 @@
 import type {ConfigurationView, RequestArrived} from '@parsleyvale/kernel';
 import {ErrorKind, type Milliseconds, type Route} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
-import {createLiveRequest, type LiveRequest} from './live-request.js';
+import {LiveRequest} from './live-request.js';
 import type {RouteTable} from './route-table.js';
 
 type Checked<Value> = Result<Value, ErrorKind>;
@@ -69,7 +69,7 @@
 	}
 
 	return Result.ok(
-		createLiveRequest({
+		new LiveRequest({
 			arrival,
 			arrivedAt: now,
 			route: route.value,
--- a/packages/requests/src/request-metrics.ts
+++ b/packages/requests/src/request-metrics.ts
@@ -34,20 +34,18 @@
 		kind: ErrorKind | undefined,
 		context: Context,
 	): void {
-		const labels = {
-			customer: this.#toLabel(request.customer),
-			class: request.route?.class ?? otherLabel,
-		};
+		const customer = this.#toLabel(request.customer);
+		const routeClass = request.route?.class ?? otherLabel;
 		context.emit({
 			type: 'count',
 			name: 'requests_total',
-			labels: {...labels, kind: kind ?? 'answered'},
+			labels: {customer, class: routeClass, kind: kind ?? 'answered'},
 			by: 1,
 		});
 		context.emit({
 			type: 'observe',
 			name: 'request_duration_milliseconds',
-			labels,
+			labels: {customer, class: routeClass},
 			value: context.now - request.arrivedAt,
 		});
 	}
