Measure capacity and cut what heartbeats and news cost

Found by profile: the versions of all hosts were sorted for each message, the ring and the list of members were rebuilt for each heartbeat. Change: samples are drawn and not sorted; a tree asks one parent at a time; versions are passed on in every tenth round; heartbeats on the ring go once a second. Slots of client blocks lie in one array (one cache line a probe).

--- /dev/null
+++ b/packages/bench/src/capacity.ts
@@ -0,0 +1,53 @@
+import process from 'node:process';
+import {measureBlocks} from './blocks.js';
+import {measureConfiguration} from './capacity-configuration.js';
+import {measureGossip} from './gossip.js';
+
+const blockCounts = [33_000, 330_000, 3_300_000];
+const daemonCounts = [10, 100, 1000, 2800];
+const configurationSizes: Array<[customers: number, servers: number]> = [
+	[8, 32],
+	[100, 320],
+	[1000, 1600],
+	[2000, 3200],
+];
+
+type Row = Readonly<Record<string, string | number>>;
+
+function toCell(value: string | number): string {
+	if (typeof value === 'string') {
+		return value;
+	}
+
+	return value >= 100 || Number.isInteger(value)
+		? String(Math.round(value))
+		: value.toPrecision(3);
+}
+
+function writeTable(title: string, rows: readonly Row[]): void {
+	const names = Object.keys(rows[0] ?? {});
+	const lines = [
+		`\n${title}\n`,
+		`| ${names.join(' | ')} |`,
+		`|${names.map(() => '---').join('|')}|`,
+		...rows.map(
+			(row) => `| ${names.map((name) => toCell(row[name]!)).join(' | ')} |`,
+		),
+	];
+	process.stdout.write(`${lines.join('\n')}\n`);
+}
+
+writeTable(
+	'Client blocks',
+	blockCounts.map((count) => measureBlocks(count)),
+);
+writeTable(
+	'Heartbeats and news, each daemon',
+	daemonCounts.flatMap((count) => measureGossip(count)),
+);
+writeTable(
+	'One change of configuration',
+	configurationSizes.map(([customers, servers]) =>
+		measureConfiguration(customers, servers),
+	),
+);
--- a/packages/client-blocks/src/block-family.ts
+++ b/packages/client-blocks/src/block-family.ts
@@ -12,6 +12,15 @@
 
 const indexBits = 16;
 
+const mostWords = 4;
+const longestLength = mostWords * wordBits;
+
+/** The masks of all words of all lengths. */
+const masks = Uint32Array.from(
+	{length: (longestLength + 1) * mostWords},
+	(_, index) => toWordMask(Math.floor(index / mostWords), index % mostWords),
+);
+
 /**
  * The blocks of one family of addresses, in a hash table by block and length.
  * An index tells which lengths occur under the first bits of an address, so
@@ -122,7 +131,7 @@
 	#findAtLength(address: AddressWords, length: number): number | undefined {
 		const probe = this.#probe;
 		for (let word = 0; word < this.#wordCount; word++) {
-			probe[word] = address[word]! & toWordMask(length, word);
+			probe[word] = address[word]! & masks[length * mostWords + word]!;
 		}
 
 		const site = this.#store.findSite(probe, length);
--- a/packages/client-blocks/src/block-store.ts
+++ b/packages/client-blocks/src/block-store.ts
@@ -7,6 +7,10 @@
 
 const notFound = -1;
 
+/** The last word of a slot is its length, then the site in the low bits. */
+const siteBits = 16;
+const siteRange = 2 ** siteBits;
+
 /**
  * One array of slots with linear probing. A key is the words of a block and
  * its length, which is never 0.
@@ -15,9 +19,9 @@
  */
 export class BlockStore {
 	readonly #wordCount: number;
-	readonly #words: Uint32Array;
-	readonly #lengths: Uint8Array;
-	readonly #sites: Uint16Array;
+	/** Words of each slot: those of the block, then state and site. */
+	readonly #slots: Uint32Array;
+	readonly #slotWords: number;
 	#size = 0;
 
 	constructor(
@@ -25,9 +29,8 @@
 		wordCount: number,
 	) {
 		this.#wordCount = wordCount;
-		this.#words = new Uint32Array(capacity * wordCount);
-		this.#lengths = new Uint8Array(capacity);
-		this.#sites = new Uint16Array(capacity);
+		this.#slotWords = wordCount + 1;
+		this.#slots = new Uint32Array(capacity * this.#slotWords);
 	}
 
 	get size(): number {
@@ -35,33 +38,34 @@
 	}
 
 	get bytes(): number {
-		return (
-			this.#words.byteLength + this.#lengths.byteLength + this.#sites.byteLength
-		);
+		return this.#slots.byteLength;
 	}
 
 	/** The site of a block; undefined when the block is not here. */
 	findSite(words: Uint32Array, length: number): number | undefined {
 		const slot = this.#findSlot(words, length);
-		return slot === notFound ? undefined : this.#sites[slot];
+		return slot === notFound ? undefined : this.#getMeta(slot) % siteRange;
 	}
 
 	/** Returns whether the block is new. */
 	set(words: Uint32Array, length: number, site: number): boolean {
 		const known = this.#findSlot(words, length);
 		if (known !== notFound) {
-			this.#sites[known] = site;
+			this.#setMeta(known, length, site);
 			return false;
 		}
 
 		let slot = this.#toSlot(words, length);
-		while (this.#lengths[slot] !== emptySlot) {
+		while (this.#getLength(slot) !== emptySlot) {
 			slot = this.#getNext(slot);
 		}
 
-		this.#words.set(words, slot * this.#wordCount);
-		this.#lengths[slot] = length;
-		this.#sites[slot] = site;
+		const start = slot * this.#slotWords;
+		for (let index = 0; index < this.#wordCount; index++) {
+			this.#slots[start + index] = words[index]!;
+		}
+
+		this.#setMeta(slot, length, site);
 		this.#size++;
 		return true;
 	}
@@ -74,7 +78,7 @@
 		}
 
 		let slot = this.#getNext(gap);
-		while (this.#lengths[slot] !== emptySlot) {
+		while (this.#getLength(slot) !== emptySlot) {
 			const home = this.#getHome(slot);
 			if (this.#getDistance(home, slot) >= this.#getDistance(gap, slot)) {
 				this.#copySlot(slot, gap);
@@ -84,7 +88,7 @@
 			slot = this.#getNext(slot);
 		}
 
-		this.#lengths[gap] = emptySlot;
+		this.#setMeta(gap, emptySlot, 0);
 		this.#size--;
 		return true;
 	}
@@ -96,47 +100,51 @@
 			return false;
 		}
 
-		this.#lengths[slot] = movedSlot;
+		this.#setMeta(slot, movedSlot, 0);
 		this.#size--;
 		return true;
 	}
 
 	/** Moves the block of one slot, if there is one, into another store. */
 	moveSlot(slot: number, other: BlockStore): void {
-		const length = this.#lengths[slot]!;
+		const length = this.#getLength(slot);
 		if (length === emptySlot || length === movedSlot) {
 			return;
 		}
 
-		other.set(this.#getWords(slot), length, this.#sites[slot]!);
-		this.#lengths[slot] = movedSlot;
+		const site = this.#getMeta(slot) % siteRange;
+		other.set(this.#getWords(slot), length, site);
+		this.#setMeta(slot, movedSlot, 0);
 		this.#size--;
 	}
 
 	#getWords(slot: number): Uint32Array {
-		const start = slot * this.#wordCount;
-		return this.#words.subarray(start, start + this.#wordCount);
+		const start = slot * this.#slotWords;
+		return this.#slots.subarray(start, start + this.#wordCount);
 	}
 
 	#findSlot(words: Uint32Array, length: number): number {
+		const slots = this.#slots;
+		const wordCount = this.#wordCount;
 		let slot = this.#toSlot(words, length);
-		let found = this.#lengths[slot];
-		while (found !== emptySlot) {
-			if (found === length && this.#hasWords(slot, words)) {
+		for (;;) {
+			const start = slot * this.#slotWords;
+			const found = slots[start + wordCount]! >>> siteBits;
+			if (found === emptySlot) {
+				return notFound;
+			}
+
+			if (found === length && this.#hasWords(start, words)) {
 				return slot;
 			}
 
 			slot = slot + 1 === this.capacity ? 0 : slot + 1;
-			found = this.#lengths[slot];
 		}
-
-		return notFound;
 	}
 
-	#hasWords(slot: number, words: Uint32Array): boolean {
-		const start = slot * this.#wordCount;
+	#hasWords(start: number, words: Uint32Array): boolean {
 		for (let index = 0; index < this.#wordCount; index++) {
-			if (this.#words[start + index] !== words[index]) {
+			if (this.#slots[start + index] !== words[index]) {
 				return false;
 			}
 		}
@@ -144,6 +152,19 @@
 		return true;
 	}
 
+	#getMeta(slot: number): number {
+		return this.#slots[slot * this.#slotWords + this.#wordCount]!;
+	}
+
+	#setMeta(slot: number, length: number, site: number): void {
+		const place = slot * this.#slotWords + this.#wordCount;
+		this.#slots[place] = length * siteRange + site;
+	}
+
+	#getLength(slot: number): number {
+		return this.#getMeta(slot) >>> siteBits;
+	}
+
 	/** The finaliser of MurmurHash3 over the words and the length. */
 	#toSlot(words: Uint32Array, length: number): number {
 		let hash = length;
@@ -158,7 +179,7 @@
 	}
 
 	#getHome(slot: number): number {
-		return this.#toSlot(this.#getWords(slot), this.#lengths[slot]!);
+		return this.#toSlot(this.#getWords(slot), this.#getLength(slot));
 	}
 
 	#getNext(slot: number): number {
@@ -170,13 +191,8 @@
 	}
 
 	#copySlot(from: number, to: number): void {
-		const start = from * this.#wordCount;
-		this.#words.copyWithin(
-			to * this.#wordCount,
-			start,
-			start + this.#wordCount,
-		);
-		this.#lengths[to] = this.#lengths[from]!;
-		this.#sites[to] = this.#sites[from]!;
+		const start = from * this.#slotWords;
+		const end = start + this.#slotWords;
+		this.#slots.copyWithin(to * this.#slotWords, start, end);
 	}
 }
--- a/packages/configuration/__tests__/merge-files.test.ts
+++ b/packages/configuration/__tests__/merge-files.test.ts
@@ -20,7 +20,9 @@
 function listProblems(...texts: string[]): string[] {
 	const files = texts.map((text, index) => ({name: `${index}.json`, text}));
 	const result = mergeFiles([...files, regions]);
-	return result.isErr ? result.error.map(toProblemLine) : [];
+	return result.isErr
+		? result.error.map((problem) => toProblemLine(problem))
+		: [];
 }
 
 describe('merge of files', () => {
@@ -94,7 +96,9 @@
 			links: [link, {...link, name: 'other', between: ['sin', 'tpe']}],
 		});
 		const result = mergeFiles([{name: 'all.json', text}]);
-		const lines = result.isErr ? result.error.map(toProblemLine) : [];
+		const lines = result.isErr
+			? result.error.map((problem) => toProblemLine(problem))
+			: [];
 		expect(lines).toEqual([
 			'all.json: links.1.between: A second link between sin and tpe. One is allowed.',
 		]);
@@ -107,7 +111,7 @@
 		after.keys.pop();
 		after.regions.push({...after.regions[0]!, name: 'fra'});
 		const lines = compareConfigurations(createSample(0), after);
-		expect(lines.map(formatDifference)).toEqual([
+		expect(lines.map((line) => formatDifference(line))).toEqual([
 			'+ regions/fra',
 			'~ customers/hanlin: ratePerSecond',
 			'- keys/key-3',
--- a/packages/configuration/src/host-versions.ts
+++ b/packages/configuration/src/host-versions.ts
@@ -18,13 +18,7 @@
  */
 export class HostVersions {
 	readonly #entries = new Map<string, Entry>();
-
-	get newest(): number {
-		return Math.max(
-			0,
-			...[...this.#entries.values()].map((entry) => entry.version),
-		);
-	}
+	readonly #names: string[] = [];
 
 	findVersion(host: string): number | undefined {
 		return this.#entries.get(host)?.version;
@@ -32,15 +26,15 @@
 
 	set(host: string, version: number, saidAt: Milliseconds): void {
 		const before = this.#entries.get(host);
+		if (before === undefined) {
+			this.#names.push(host);
+		}
+
 		if (before === undefined || before.saidAt <= saidAt) {
 			this.#entries.set(host, {version, saidAt});
 		}
 	}
 
-	remove(host: string): void {
-		this.#entries.delete(host);
-	}
-
 	list(now: Milliseconds): VersionOfHost[] {
 		return [...this.#entries]
 			.map(([host, entry]) => ({
@@ -48,7 +42,7 @@
 				version: entry.version,
 				age: Math.max(0, now - entry.saidAt),
 			}))
-			.sort((a, b) => a.host.localeCompare(b.host));
+			.sort((a, b) => (a.host < b.host ? -1 : 1));
 	}
 
 	/** Some of the entries, to pass on where not all hosts talk to all. */
@@ -57,10 +51,14 @@
 		random: () => number,
 		now: Milliseconds,
 	): HostVersion[] {
-		const all = this.list(now);
-		const start = Math.floor(random() * all.length);
-		return [...all.slice(start), ...all.slice(0, start)]
-			.slice(0, count)
-			.map(({host, version, age}) => ({name: host, version, ageMs: age}));
+		const names = new Set<string>();
+		for (let drawn = 0; drawn < count && this.#names.length > 0; drawn++) {
+			names.add(this.#names[Math.floor(random() * this.#names.length)]!);
+		}
+
+		return [...names].map((name) => {
+			const {version, saidAt} = this.#entries.get(name)!;
+			return {name, version, ageMs: Math.max(0, Math.round(now - saidAt))};
+		});
 	}
 }
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -12,4 +12,5 @@
 export type {WithdrawalProgress} from './key-withdrawals.js';
 export {mergeFiles, type ConfigurationFile} from './merge-files.js';
 export type {ConfigurationOptions} from './options.js';
+export {computeDelta, mergeDelta} from './configuration-delta.js';
 export type {SectionName} from './sections.js';
--- a/packages/configuration/src/peer-sync.ts
+++ b/packages/configuration/src/peer-sync.ts
@@ -19,6 +19,9 @@
 const requestLifetime: Milliseconds = 10_000;
 const sampledVersions = 8;
 
+/** Every so many rounds, some versions of other hosts are passed on. */
+const sampleEvery = 10;
+
 type Parts = {
 	readonly self: PeerIdentity;
 	readonly random: () => number;
@@ -43,6 +46,7 @@
 	readonly #parts: Parts;
 	readonly #requests = new Map<string, Request>();
 	#requestCount = 0;
+	#round = 0;
 	#askedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	#isLeaving = false;
 
@@ -63,7 +67,13 @@
 
 		this.#askedAt = context.now;
 		this.#clearOldRequests(context.now);
-		const peers = this.#parts.tree.parents ?? this.#parts.roster.peers;
+		this.#round++;
+		const {roster, tree} = this.#parts;
+		// In a tree one parent is asked at a time; the next round asks another.
+		const peers =
+			tree.parents === undefined
+				? roster.peers
+				: tree.parents.slice(this.#round % tree.parents.length).slice(0, 1);
 		const giver = this.#chooseGiver(peers);
 		for (const peer of peers) {
 			this.#sendRequest(peer, peer === giver, context);
@@ -81,7 +91,7 @@
 
 	onReply(from: PeerIdentity, reply: SyncReply, now: Milliseconds): void {
 		const request = this.#requests.get(reply.id);
-		if (request === undefined || request.peer !== from.name) {
+		if (request?.peer !== from.name) {
 			return;
 		}
 
@@ -204,7 +214,8 @@
 
 	#sampleVersions(now: Milliseconds): SyncReply['versions'] {
 		const {roster, hostVersions, random} = this.#parts;
-		return roster.size <= allToAllLimit
+		const isDue = this.#round % sampleEvery === 0;
+		return roster.size <= allToAllLimit || !isDue
 			? []
 			: hostVersions.sample(sampledVersions, random, now);
 	}
--- a/packages/membership/src/heartbeats.ts
+++ b/packages/membership/src/heartbeats.ts
@@ -5,9 +5,10 @@
 import {topics, type Heartbeat, type Update} from './messages.js';
 import {
 	allToAllLimit,
-	deadAfter,
 	gossipPerInterval,
 	heartbeatInterval,
+	reportAfter,
+	ringHeartbeatInterval,
 	monitorsPerHost,
 } from './options.js';
 import {Ring} from './ring.js';
@@ -62,7 +63,10 @@
 	}
 
 	onTick(context: Context): void {
-		if (context.now - this.#sentAt < heartbeatInterval) {
+		const interval = this.#isAllToAll
+			? heartbeatInterval
+			: ringHeartbeatInterval;
+		if (context.now - this.#sentAt < interval) {
 			return;
 		}
 
@@ -181,7 +185,7 @@
 	/** Reports those hosts that should send to this one and no longer do. */
 	#checkWatched(now: Milliseconds): void {
 		this.#monitorsSince ??= now;
-		if (this.#isAllToAll || now - this.#monitorsSince < deadAfter) {
+		if (this.#isAllToAll || now - this.#monitorsSince < reportAfter) {
 			return;
 		}
 
@@ -202,7 +206,7 @@
 	#isSilent(entry: MemberEntry, now: Milliseconds): boolean {
 		const isReported = entry.reporters.has(this.#parts.self.name);
 		const lastHeard = Math.max(entry.heardAt ?? entry.freshAt, entry.freshAt);
-		return !isReported && now - lastHeard > deadAfter;
+		return !isReported && now - lastHeard > reportAfter;
 	}
 
 	#tellWeight(): void {
--- a/packages/membership/src/load-weight.ts
+++ b/packages/membership/src/load-weight.ts
@@ -39,7 +39,7 @@
 		this.#requests++;
 	}
 
-	onTick(meanOfOthers: number | undefined, now: Milliseconds): void {
+	onTick(getMeanOfOthers: () => number | undefined, now: Milliseconds): void {
 		this.#adjustedAt ??= now;
 		const span = now - this.#adjustedAt;
 		if (span < adjustmentInterval) {
@@ -49,6 +49,7 @@
 		this.#load = (this.#load + (this.#requests * second) / span) / 2;
 		this.#requests = 0;
 		this.#adjustedAt = now;
+		const meanOfOthers = getMeanOfOthers();
 		if (meanOfOthers !== undefined) {
 			this.#adjust(meanOfOthers);
 		}
--- a/packages/membership/src/membership-plugin.ts
+++ b/packages/membership/src/membership-plugin.ts
@@ -23,6 +23,9 @@
 	type MembershipOptions,
 } from './options.js';
 
+/** How often it is seen whether the live hosts have changed. */
+const compareInterval: Milliseconds = 500;
+
 /** A host that did not run for so long cannot judge the silence of others. */
 const longestUsualPause: Milliseconds = deadAfter / 4;
 
@@ -64,6 +67,7 @@
 	#configuration!: ConfigurationView;
 	#awakeAt: Milliseconds | undefined;
 	#lastMembers = '';
+	#comparedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
 	constructor(options: MembershipOptions = {}) {
 		super();
@@ -124,10 +128,13 @@
 		const {now} = context;
 		this.#checkPause(now);
 		this.#table.clearForgotten(now);
-		this.#load.onTick(this.#getMeanLoad(now), now);
+		this.#load.onTick(() => this.#getMeanLoad(now), now);
 		this.#heartbeats.onTick(context);
 		this.#departure.onTick(context);
-		this.#raiseChanges(context);
+		if (now - this.#comparedAt >= compareInterval) {
+			this.#comparedAt = now;
+			this.#raiseChanges(context);
+		}
 	}
 
 	#checkPause(now: Milliseconds): void {
@@ -145,7 +152,6 @@
 				const heartbeat = heartbeatSchema.safeParse(payload);
 				if (heartbeat.success) {
 					this.#heartbeats.onHeartbeat(from, heartbeat.data, context.now);
-					this.#raiseChanges(context);
 				}
 
 				break;
--- a/packages/membership/src/options.ts
+++ b/packages/membership/src/options.ts
@@ -17,6 +17,12 @@
 /** @internal */
 export const heartbeatInterval: Milliseconds = 500;
 
+/** In a fleet where only monitors are told. */
+export const ringHeartbeatInterval: Milliseconds = second;
+
+/** A monitor reports a host that it has not heard for so long. */
+export const reportAfter: Milliseconds = 3.5 * second;
+
 /** A host not heard for so long is left out of look-up answers. */
 export const deadAfter: Milliseconds = 2 * second;
 
--- a/packages/membership/src/ring.ts
+++ b/packages/membership/src/ring.ts
@@ -10,10 +10,20 @@
  */
 export class Ring {
 	#places: Place[] = [];
+	#members = new Set<string>();
 	readonly #positions = new Map<string, string>();
 
-	set(names: Iterable<string>): void {
-		this.#places = [...names]
+	/** Sorts only when the names have changed. */
+	set(names: readonly string[]): void {
+		const isSame =
+			names.length === this.#places.length &&
+			names.every((name) => this.#members.has(name));
+		if (isSame) {
+			return;
+		}
+
+		this.#members = new Set(names);
+		this.#places = names
 			.map((name) => ({name, position: this.#getPosition(name)}))
 			.sort((a, b) => (a.position < b.position ? -1 : 1));
 	}
