Tell a wrong command line from a change that is not allowed

Change: kind wrong-command-line, exit code 1; the target is checked by its schema. The test of 'drain start' without a target now expects 1 in place of 8, as the help says, and a half target 2.

--- a/packages/ctl/__tests__/ctl.test.ts
+++ b/packages/ctl/__tests__/ctl.test.ts
@@ -277,6 +277,8 @@
 		await run('drain', 'stop', '--failure-domain', 'tpe/a');
 		expect(host.current.configuration.drains[0]?.state).toEqual('stopped');
 		expect(await getCode(run('drain', 'stop', '--server', 's'))).toEqual(7);
-		expect(await getCode(run('drain', 'start'))).toEqual(8);
+		expect(await getCode(run('drain', 'start'))).toEqual(1);
+		const half = run('drain', 'start', '--failure-domain', 'tpe');
+		expect(await getCode(half)).toEqual(2);
 	});
 });
--- a/packages/ctl/src/administration-client.ts
+++ b/packages/ctl/src/administration-client.ts
@@ -134,7 +134,7 @@
 	 * answer was lost is not sent on from here.
 	 */
 	async #send(call: AdministrationCall): Promise<CallResult> {
-		let result: CallResult = {kind: 'not-reached', message: 'No --url given'};
+		let result: CallResult = {kind: 'not-reached', message: 'No entry host'};
 		const urls = [...this.#urls];
 		for (const url of urls) {
 			result = await this.#connection.send(url, call);
--- a/packages/ctl/src/command-context.ts
+++ b/packages/ctl/src/command-context.ts
@@ -44,6 +44,15 @@
 			client: AdministrationClient,
 		) => Promise<Result<Report, CtlError>>,
 	): Promise<void> {
+		if (options.urls.length === 0) {
+			const message = 'Give --url of an entry host';
+			this.finish(
+				Result.err({kind: 'wrong-command-line', message}),
+				options.json,
+			);
+			return;
+		}
+
 		const credential = await readCredential(options.credentialFile);
 		if (credential.isErr) {
 			this.finish(Result.err(credential.error), options.json);
--- a/packages/ctl/src/ctl-error.ts
+++ b/packages/ctl/src/ctl-error.ts
@@ -2,6 +2,7 @@
 
 /** Why a command did not do what it was asked. The list is closed. */
 export type CtlError =
+	| {readonly kind: 'wrong-command-line'; readonly message: string}
 	| {readonly kind: 'invalid-folder'; readonly problems: readonly Problem[]}
 	| {
 			readonly kind: 'invalid-configuration';
@@ -25,6 +26,7 @@
 
 /** Exit code of the process for each kind of error. */
 export const exitCodes: Readonly<Record<CtlErrorKind, number>> = {
+	'wrong-command-line': 1,
 	'invalid-folder': 2,
 	'invalid-configuration': 2,
 	'version-conflict': 3,
@@ -76,6 +78,7 @@
 			];
 		}
 
+		case 'wrong-command-line':
 		case 'not-reached':
 		case 'not-authorized':
 		case 'not-found':
--- a/packages/ctl/src/drain-target.ts
+++ b/packages/ctl/src/drain-target.ts
@@ -1,4 +1,8 @@
-import type {DrainTarget} from '@parsleyvale/shared';
+import {
+	drainTargetSchema,
+	toProblems,
+	type DrainTarget,
+} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
 import type {CtlError} from './ctl-error.js';
 
@@ -16,15 +20,20 @@
 	options: DrainOptions,
 ): Result<DrainTarget, CtlError> {
 	const targets = [...listTargets(options)];
-	const [target] = targets;
-	return target === undefined || targets.length > 1
-		? Result.err({
-				kind: 'not-allowed',
-				message:
-					'Give one of --server NAME, --failure-domain REGION/NAME, ' +
-					'--region NAME and --entry-host NAME',
-			})
-		: Result.ok(target);
+	if (targets.length !== 1) {
+		const message =
+			'Give one of --server NAME, --failure-domain REGION/NAME, ' +
+			'--region NAME and --entry-host NAME';
+		return Result.err({kind: 'wrong-command-line', message});
+	}
+
+	const parsed = drainTargetSchema.safeParse(targets[0]);
+	return parsed.success
+		? Result.ok(parsed.data)
+		: Result.err({
+				kind: 'invalid-configuration',
+				problems: toProblems('command line', parsed.error.issues),
+			});
 }
 
 /** The name of the drain of a target: there is one for each target. */
