--- a/packages/ctl/__tests__/ctl.test.ts
+++ b/packages/ctl/__tests__/ctl.test.ts
@@ -172,6 +172,12 @@
 		expect(host.made).toHaveLength(1);
 	});
 
+	it('gives up on entry hosts that stay silent, and says so', async () => {
+		host.faults.push('silent', 'silent', 'silent');
+		const args = ['--rate', '10', '--burst', '20', '--timeout', '1'];
+		expect(await getCode(run('customer', 'set', 'x', ...args))).toEqual(5);
+	});
+
 	it('never makes a change twice, and tells the truth, in any order of faults', async () => {
 		const faults = [
 			'none',
--- a/packages/ctl/__tests__/fake-administration.ts
+++ b/packages/ctl/__tests__/fake-administration.ts
@@ -1,4 +1,5 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {
@@ -14,6 +15,8 @@
 	| 'lose-before'
 	/** The change is made, and the connection closes. */
 	| 'lose-after'
+	/** No answer comes, and the change is not made. */
+	| 'silent'
 	/** Another operator is faster. */
 	| 'race'
 	/** The change is made, the answer is lost, and another operator follows. */
@@ -90,6 +93,10 @@
 			return {status: 200, value: this.#read(url.pathname)};
 		}
 
+		if (this.faults[0] === 'silent') {
+			await once(request.socket, 'close');
+		}
+
 		return this.#handleChange(url, body);
 	}
 
@@ -104,7 +111,7 @@
 		const fault = this.faults.shift() ?? 'none';
 		const operationId = url.searchParams.get('operation') ?? '';
 		this.came.push(operationId);
-		if (fault === 'lose-before') {
+		if (fault === 'lose-before' || fault === 'silent') {
 			return undefined;
 		}
 
--- a/packages/ctl/src/administration-answers.ts
+++ b/packages/ctl/src/administration-answers.ts
@@ -24,7 +24,8 @@
 	failureDomain: z.string(),
 	live: z.boolean(),
 	version: z.int().min(0),
-	ageMs: z.number(),
+	/** Missing while there is no news of the host. */
+	ageMs: z.number().optional(),
 });
 
 /** Fields beyond the named ones are shown as they come. */
--- a/packages/ctl/src/administration-client.ts
+++ b/packages/ctl/src/administration-client.ts
@@ -2,7 +2,9 @@
 	ErrorKind,
 	getErrorAnswer,
 	versionedConfigurationSchema,
+	type Clock,
 	type Configuration,
+	type Milliseconds,
 	type VersionedConfiguration,
 } from '@parsleyvale/shared';
 import {Result} from 'true-myth';
@@ -34,21 +36,46 @@
 type SimpleErrorKind =
 	'not-found' | 'not-authorized' | 'not-allowed' | 'not-reached';
 
+/** An entry host that stays silent leaves time to ask others. */
+const callsInTimeout = 3;
+
 const credentialKinds: ReadonlySet<ErrorKind> = new Set([
 	ErrorKind.NotAuthorized,
 	ErrorKind.KeyMissing,
 	ErrorKind.KeyUnknown,
 ]);
 
+export type AdministrationClientOptions = {
+	/** Administration APIs of entry hosts, in the order to try them. */
+	readonly urls: readonly string[];
+	readonly credential: string;
+	readonly clock: Clock;
+	/** How long to go on trying. */
+	readonly timeout: Milliseconds;
+};
+
 /** The administration API of any one of several entry hosts. */
 export class AdministrationClient {
 	readonly #connection: AdministrationConnection;
 	/** The entry host to ask first stands first. */
 	readonly #urls: string[];
 
-	constructor(urls: readonly string[], credential: string) {
+	readonly #clock: Clock;
+	readonly #end: Milliseconds;
+
+	constructor({urls, credential, clock, timeout}: AdministrationClientOptions) {
 		this.#urls = [...urls];
-		this.#connection = new AdministrationConnection(credential);
+		this.#clock = clock;
+		this.#end = clock.now() + timeout;
+		this.#connection = new AdministrationConnection({
+			credential,
+			callTimeout: Math.ceil(timeout / callsInTimeout),
+		});
+	}
+
+	/** Whether there is time to try again. */
+	get hasTime(): boolean {
+		return this.#clock.now() < this.#end;
 	}
 
 	async readConfiguration(): Promise<Result<VersionedConfiguration, CtlError>> {
--- a/packages/ctl/src/administration-connection.ts
+++ b/packages/ctl/src/administration-connection.ts
@@ -10,6 +10,12 @@
 	readonly body?: string;
 };
 
+export type ConnectionOptions = {
+	readonly credential: string;
+	/** Longest wait for one answer. */
+	readonly callTimeout: Milliseconds;
+};
+
 /** How one call to one entry host ended. */
 export type CallResult =
 	| {
@@ -23,7 +29,6 @@
 	| {readonly kind: 'lost'; readonly message: string};
 
 const connectTimeout: Milliseconds = 2000;
-const callTimeout: Milliseconds = 30_000;
 const notReachedCodes: ReadonlySet<unknown> = new Set([
 	'ECONNREFUSED',
 	'ERR_INVALID_URL',
@@ -33,10 +38,10 @@
 /** Calls entry hosts with the operator's credential. */
 export class AdministrationConnection {
 	readonly #agent = new Agent({connect: {timeout: connectTimeout}});
-	readonly #credential: string;
+	readonly #options: ConnectionOptions;
 
-	constructor(credential: string) {
-		this.#credential = credential;
+	constructor(options: ConnectionOptions) {
+		this.#options = options;
 	}
 
 	/** Calls one entry host once. */
@@ -46,13 +51,13 @@
 				method: call.method,
 				body: call.body ?? null,
 				headers: {
-					authorization: `Bearer ${this.#credential}`,
+					authorization: `Bearer ${this.#options.credential}`,
 					...(call.body === undefined
 						? {}
 						: {'content-type': 'application/json'}),
 				},
 				dispatcher: this.#agent,
-				signal: AbortSignal.timeout(callTimeout),
+				signal: AbortSignal.timeout(this.#options.callTimeout),
 			});
 			const value = parseJson(await answer.body.text());
 			return {kind: 'answered', status: answer.statusCode, value};
--- a/packages/ctl/src/command-context.ts
+++ b/packages/ctl/src/command-context.ts
@@ -1,4 +1,5 @@
 import {readFile} from 'node:fs/promises';
+import {createSystemClock, second} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
 import {AdministrationClient} from './administration-client.js';
 import {exitCodes, formatError, type CtlError} from './ctl-error.js';
@@ -10,9 +11,12 @@
 	readonly lines: readonly string[];
 };
 
+/** The options of every command that calls entry hosts. */
 export type ConnectionOptions = {
 	readonly urls: readonly string[];
 	readonly credentialFile: string;
+	readonly timeoutSeconds: number;
+	readonly json: boolean;
 };
 
 /** What commands share: output and the exit code of the process. */
@@ -39,7 +43,7 @@
 
 	/** Runs a command against entry hosts and tells how it ended. */
 	async run(
-		options: ConnectionOptions & {readonly json: boolean},
+		options: ConnectionOptions,
 		command: (
 			client: AdministrationClient,
 		) => Promise<Result<Report, CtlError>>,
@@ -59,7 +63,12 @@
 			return;
 		}
 
-		const client = new AdministrationClient(options.urls, credential.value);
+		const client = new AdministrationClient({
+			urls: options.urls,
+			credential: credential.value,
+			clock: createSystemClock(),
+			timeout: options.timeoutSeconds * second,
+		});
 		try {
 			this.finish(await command(client), options.json);
 		} finally {
--- a/packages/ctl/src/command-options.ts
+++ b/packages/ctl/src/command-options.ts
@@ -1,4 +1,4 @@
-import {flag, multioption, option, array, string} from 'cmd-ts';
+import {flag, multioption, number, option, array, string} from 'cmd-ts';
 
 export const jsonOption = flag({
 	long: 'json',
@@ -18,5 +18,12 @@
 		long: 'credential-file',
 		description: 'File with the administration credential',
 	}),
+	timeoutSeconds: option({
+		type: number,
+		long: 'timeout',
+		description: 'Seconds to go on trying',
+		defaultValue: () => 30,
+		defaultValueIsSerializable: true,
+	}),
 	json: jsonOption,
 };
--- a/packages/ctl/src/commands/drain.ts
+++ b/packages/ctl/src/commands/drain.ts
@@ -43,15 +43,15 @@
 		name: verb,
 		description: `Set the drain of a target to ${state}`,
 		args: {...targetOptions, ...connectionOptions},
-		async handler({urls, credentialFile, json, ...targets}) {
-			const target = parseDrainTarget(targets);
+		async handler(options) {
+			const target = parseDrainTarget(options);
 			if (target.isErr) {
-				context.finish(Result.err(target.error), json);
+				context.finish(Result.err(target.error), options.json);
 				return;
 			}
 
 			const change = toDrainChange(target.value, state);
-			await context.run({urls, credentialFile, json}, async (client) =>
+			await context.run(options, async (client) =>
 				toChangeReport(
 					await changeConfiguration(client, change),
 					`Drain ${change.name}`,
--- a/packages/ctl/src/commands/shift.ts
+++ b/packages/ctl/src/commands/shift.ts
@@ -16,7 +16,7 @@
 import {Result} from 'true-myth';
 import {toChangeReport} from '../change-report.js';
 import {changeConfiguration, type ObjectChange} from '../change.js';
-import type {CommandContext} from '../command-context.js';
+import type {CommandContext, ConnectionOptions} from '../command-context.js';
 import {connectionOptions} from '../command-options.js';
 import type {CtlError} from '../ctl-error.js';
 import {formatFields} from '../format-fields.js';
@@ -57,8 +57,10 @@
 			rampMs: option({type: optional(number), long: 'ramp-ms'}),
 			...connectionOptions,
 		},
-		async handler({urls, credentialFile, json, name, ...given}) {
-			await runChange(context, {urls, credentialFile, json}, name, (shift) =>
+		async handler({name, ...options}) {
+			const {pool, from, to, share, capPerSecond, capBurst, rampMs} = options;
+			const given = {pool, from, to, share, capPerSecond, capBurst, rampMs};
+			await runChange(context, options, name, (shift) =>
 				parseShift({...shift, ...removeUndefined(given), name}),
 			);
 		},
@@ -89,7 +91,7 @@
 
 async function runChange(
 	context: CommandContext,
-	options: {urls: string[]; credentialFile: string; json: boolean},
+	options: ConnectionOptions,
 	name: string,
 	edit: (shift: Shift | undefined) => Result<Shift, CtlError>,
 ): Promise<void> {
--- a/packages/ctl/src/operation.ts
+++ b/packages/ctl/src/operation.ts
@@ -11,8 +11,6 @@
 } from './administration-client.js';
 import type {CtlError} from './ctl-error.js';
 
-const maximumSends = 8;
-const maximumReads = 6;
 const firstPause: Milliseconds = 50;
 const longestPause: Milliseconds = 2000;
 
@@ -42,7 +40,7 @@
 ): Promise<Result<number, CtlError>> {
 	const {operationId, expectedVersion, configuration} = operation;
 	let isLost = false;
-	for (let sends = 0; sends < maximumSends; sends++) {
+	for (let sends = 0; sends === 0 || client.hasTime; sends++) {
 		const result = await client.sendConfiguration(
 			expectedVersion,
 			operationId,
@@ -80,7 +78,7 @@
 	operationId: string,
 ): Promise<Result<number, CtlError>> {
 	let isLost = false;
-	for (let sends = 0; sends < maximumSends; sends++) {
+	for (let sends = 0; sends === 0 || client.hasTime; sends++) {
 		const result = await client.sendKeyWithdrawal(keyName, operationId);
 		if (result.kind === 'accepted') {
 			return Result.ok(result.version);
@@ -105,18 +103,16 @@
 	client: AdministrationClient,
 	version: number,
 ): Promise<Result<VersionedConfiguration, CtlError>> {
-	let result = await client.readConfiguration();
-	for (let reads = 1; reads < maximumReads; reads++) {
-		if (result.isOk && result.value.version >= version) {
+	for (let reads = 0; ; reads++) {
+		const result = await client.readConfiguration();
+		const isNew = result.isOk && result.value.version >= version;
+		if (isNew || !client.hasTime) {
 			return result;
 		}
 
 		// The entry host that answers may lag behind the one that wrote.
 		await wait(computePause(reads));
-		result = await client.readConfiguration();
 	}
-
-	return result;
 }
 
 async function findOutcome(
