Read the ledger before a write that it has been idle for, and sharpen the fuzzer

Cause: a write is planned only on a fresh answer of the store, and nothing asked for one, so that a share of a killed host was not taken over until the next periodic read.

--- a/packages/budgets/__tests__/commands.ts
+++ b/packages/budgets/__tests__/commands.ts
@@ -1,12 +1,24 @@
 import * as fc from 'fast-check';
 import {minute, type Milliseconds} from '@parsleyvale/shared';
 import type {StoreMode} from './fake-store.js';
-import {World, count, fairWeather, rate, type Weather} from './world.js';
+import {
+	World,
+	count,
+	fairWeather,
+	rate,
+	slowRate,
+	type Host,
+	type Weather,
+} from './world.js';
 
 /** One step of a fuzzed session; hosts are indices, modulo their number. */
 export type Command =
 	| {readonly do: 'run'; readonly span: Milliseconds}
-	| {readonly do: 'drain'; readonly span: Milliseconds}
+	| {
+			readonly do: 'drain';
+			readonly span: Milliseconds;
+			readonly isQuiet?: boolean;
+	  }
 	| {
 			readonly do: 'take' | 'occupy' | 'want' | 'want-slot' | 'undo';
 			readonly host: number;
@@ -50,7 +62,7 @@
 const use = fc.record({
 	do: fc.constantFrom('take', 'occupy', 'want', 'want-slot', 'undo'),
 	host,
-	amount: fc.integer({min: 1, max: 15}),
+	amount: fc.integer({min: 1, max: 200}),
 });
 
 const process = fc.record({
@@ -88,10 +100,10 @@
 });
 
 const command: fc.Arbitrary<Command> = fc.oneof(
-	{arbitrary: run, weight: 3},
-	{arbitrary: drain, weight: 4},
-	{arbitrary: use, weight: 6},
-	{arbitrary: process, weight: 4},
+	{arbitrary: run, weight: 2},
+	{arbitrary: drain, weight: 7},
+	{arbitrary: use, weight: 3},
+	{arbitrary: process, weight: 5},
 	{arbitrary: store, weight: 2},
 	{arbitrary: weather, weight: 2},
 	{arbitrary: cut, weight: 2},
@@ -112,25 +124,38 @@
 };
 
 /** Every live host, frozen ones too, takes all it can for a while. */
-function drainAll(world: World, span: Milliseconds): void {
-	const period: Milliseconds = 200;
+function drainAll(world: World, span: Milliseconds, isQuiet: boolean): void {
+	const period: Milliseconds = 100;
 	for (let passed = 0; passed < span; passed += period) {
-		world.run(period);
 		for (const each of world.hosts) {
 			// A host that is frozen takes only in the moment it wakes.
 			if (!each.isFrozen) {
-				world.take(each, rate.burst);
-				world.occupy(each, count.total);
+				takeAll(world, each);
 			}
 		}
 
-		const wanting =
-			world.hosts[Math.floor(world.sample() * world.hosts.length)]!;
-		world.want(wanting, rate.id, 3);
-		world.want(wanting, count.id, 2);
+		if (!isQuiet) {
+			askForLoans(world);
+		}
+
+		world.run(period);
 	}
 }
 
+function askForLoans(world: World): void {
+	const index = Math.floor(world.sample() * world.hosts.length);
+	const host = world.hosts[index]!;
+	world.want(host, rate.id, 30);
+	world.want(host, slowRate.id, 10);
+	world.want(host, count.id, 2);
+}
+
+function takeAll(world: World, host: Host): void {
+	world.take(host, rate.burst, rate.id);
+	world.take(host, slowRate.burst, slowRate.id);
+	world.occupy(host, count.total);
+}
+
 function runProcessCommand(
 	world: World,
 	action: 'kill' | 'restart' | 'freeze' | 'wake' | 'stop',
@@ -148,8 +173,7 @@
 	} else if (action === 'wake') {
 		each.isFrozen = false;
 		// The first thing that happens to a woken process is a request.
-		world.take(each, rate.burst);
-		world.occupy(each, count.total);
+		takeAll(world, each);
 	}
 }
 
@@ -168,7 +192,7 @@
 		}
 
 		case 'drain': {
-			drainAll(world, step.span);
+			drainAll(world, step.span, step.isQuiet ?? false);
 			break;
 		}
 
@@ -214,7 +238,7 @@
 	}
 
 	if (action === 'take') {
-		world.take(each, 3, Math.ceil(amount / 3));
+		world.take(each, amount);
 	} else if (action === 'occupy') {
 		world.occupy(each, amount);
 	} else if (action === 'want') {
@@ -222,6 +246,6 @@
 	} else if (action === 'want-slot') {
 		world.want(each, count.id, amount);
 	} else {
-		world.undo(each);
+		world.undo(each, amount);
 	}
 }
--- a/packages/budgets/__tests__/world.ts
+++ b/packages/budgets/__tests__/world.ts
@@ -2,7 +2,6 @@
 import {
 	budgetsKey,
 	createKernel,
-	type Budgets,
 	type BudgetSpec,
 	type Effect,
 	type Kernel,
@@ -10,16 +9,25 @@
 } from '@parsleyvale/kernel';
 import type {EntryHost, Milliseconds} from '@parsleyvale/shared';
 import {createBudgets} from '../src/index.js';
+import type {EscrowedBudgets} from '../src/escrow.js';
 import type {Safeguards} from '../src/safeguards.js';
-import {clockRateError} from '../src/units.js';
+import {clockRateError, shareUnits} from '../src/units.js';
 import {FakeStore} from './fake-store.js';
 import {CountOracle, RateOracle} from './oracle.js';
 
+/** Refills so fast that a share in use twice shows at once. */
 export const rate = {
 	kind: 'rate',
 	id: 'customer/a',
-	perSecond: 40,
-	burst: 15,
+	perSecond: 1000,
+	burst: 200,
+} as const;
+/** Refills so slowly that tokens in use twice show at once. */
+export const slowRate = {
+	kind: 'rate',
+	id: 'customer/b',
+	perSecond: 20,
+	burst: 200,
 } as const;
 export const count = {
 	kind: 'count',
@@ -29,14 +37,20 @@
 	region: 'tpe',
 } as const;
 
-const specs: readonly BudgetSpec[] = [rate, count];
+const specs: readonly BudgetSpec[] = [rate, slowRate, count];
+const wholes = [
+	[rate.id, shareUnits],
+	[count.id, count.total],
+] as const;
+
 const tickPeriod: Milliseconds = 100;
-const clockRates = [1, 1 + clockRateError, 1 - clockRateError];
+/** Largest reading of a process's clock at the start of a session. */
+const latestClockStart: Milliseconds = 1_000_000;
 
 export type Host = {
 	readonly self: EntryHost;
 	readonly kernel: Kernel;
-	readonly budgets: Budgets;
+	readonly budgets: EscrowedBudgets;
 	readonly clockRate: number;
 	readonly clockStart: Milliseconds;
 	isAlive: boolean;
@@ -65,14 +79,17 @@
 	now: Milliseconds = 0;
 	weather = fairWeather;
 	overrun: string | undefined;
-	taken = 0;
-	refused = 0;
 	hosts: Host[] = [];
 	readonly store = new FakeStore();
 	readonly cuts = new Set<string>();
 	readonly #safeguards: Partial<Safeguards>;
 	readonly #seed: number;
-	readonly #rate = new RateOracle(rate.perSecond, rate.burst);
+	readonly #rates = new Map(
+		[rate, slowRate].map((spec) => [
+			spec.id as string,
+			new RateOracle(spec.perSecond, spec.burst),
+		]),
+	);
 	readonly #count = new CountOracle(count.total);
 	#deliveries: Delivery[] = [];
 	#holds: Hold[] = [];
@@ -123,9 +140,9 @@
 		const host: Host = {
 			self,
 			kernel,
-			budgets: kernel.inject(budgetsKey),
-			clockRate: clockRates[index % clockRates.length]!,
-			clockStart: 1000 * this.#incarnations,
+			budgets: kernel.inject(budgetsKey) as EscrowedBudgets,
+			clockRate: this.#chooseClockRate(),
+			clockStart: Math.floor(latestClockStart * this.sample()),
 			isAlive: true,
 			isFrozen: false,
 		};
@@ -179,6 +196,7 @@
 			this.now = Math.min(end, this.now + step);
 			this.#endHolds();
 			this.#deliver();
+			this.#checkShares();
 			const isTick =
 				Math.floor(before / tickPeriod) !== Math.floor(this.now / tickPeriod);
 			for (const host of isTick ? this.hosts : []) {
@@ -189,24 +207,23 @@
 		}
 	}
 
-	/** Takes from the rate until the host refuses, at most so often. */
-	take(host: Host, most: number, amount = 1): number {
-		let taken = 0;
-		while (host.isAlive && taken < most) {
-			const result = host.budgets.take(rate.id, amount, this.toClock(host));
-			if (result !== 'taken') {
-				this.refused++;
-				break;
-			}
+	/** Takes what the host lets go, at most so much. */
+	take(host: Host, most: number, budgetId: string = rate.id): number {
+		const clock = this.toClock(host);
+		const amount = Math.min(most, host.budgets.getAvailable(budgetId, clock));
+		const isTaken =
+			host.isAlive &&
+			amount > 0 &&
+			host.budgets.take(budgetId, amount, clock) === 'taken';
+		if (!isTaken) {
+			return 0;
+		}
 
-			taken++;
-			this.taken += amount;
-			if (!this.#rate.take(amount, this.now)) {
-				this.overrun ??= `rate overrun at ${this.now} on ${host.self.name}`;
-			}
+		if (!this.#rates.get(budgetId)!.take(amount, this.now)) {
+			this.overrun ??= `${budgetId} overrun at ${this.now}`;
 		}
 
-		return taken;
+		return amount;
 	}
 
 	/** Takes slots until the host refuses, each for the longest hold. */
@@ -229,10 +246,15 @@
 	}
 
 	/** Takes a token for an attempt that surely did not run, and undoes it. */
-	undo(host: Host): void {
-		const now = this.toClock(host);
-		if (host.budgets.take(rate.id, 1, now) === 'taken') {
-			host.budgets.giveBack(rate.id, 1, now);
+	undo(host: Host, amount: number): void {
+		const before = host.budgets.getAvailable(rate.id, this.toClock(host));
+		const clock = this.toClock(host);
+		if (
+			host.budgets.take(rate.id, Math.min(before, amount), clock) === 'taken'
+		) {
+			this.run(50);
+			const later = this.toClock(host);
+			host.budgets.giveBack(rate.id, Math.min(before, amount), later);
 		}
 	}
 
@@ -262,6 +284,14 @@
 		}
 	}
 
+	/** In some sessions all clocks are fast, in others they differ. */
+	#chooseClockRate(): number {
+		const steps = [-1, 0, 1];
+		const step =
+			this.#seed % 3 === 0 ? 1 : steps[Math.floor(this.sample() * 3)]!;
+		return 1 + step * clockRateError;
+	}
+
 	#announceMembers(): void {
 		const members = this.hosts.map((host) => host.self);
 		for (const host of this.hosts) {
@@ -329,6 +359,25 @@
 		}
 	}
 
+	/** Shares that could be used now, by woken hosts too, fit the whole. */
+	#checkShares(): void {
+		for (const [budgetId, whole] of wholes) {
+			let units = 0;
+			for (const host of this.hosts) {
+				const {budgets} = host;
+				const clock = this.toClock(host);
+				// Looks at the clock as a take would.
+				budgets.getAvailable(budgetId, clock);
+				const holding = budgets.holdings.find(budgetId)!;
+				units += host.isAlive ? holding.getUnits(clock) : 0;
+			}
+
+			if (units > whole) {
+				this.overrun ??= `${units} units of ${budgetId} at ${this.now}`;
+			}
+		}
+	}
+
 	#endHolds(): void {
 		const ended = this.#holds.filter(({endsAt}) => endsAt <= this.now);
 		this.#holds = this.#holds.filter(({endsAt}) => endsAt > this.now);
--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -76,10 +76,7 @@
 	}
 
 	take(budgetId: string, amount: number, now: Milliseconds): TakeResult {
-		if (this.#safeguards.checkOnTake) {
-			this.#advance(now);
-		}
-
+		this.#advanceOnTake(now);
 		const holding = this.holdings.find(budgetId);
 		if (holding === undefined) {
 			return 'unknown-budget';
@@ -117,7 +114,7 @@
 	}
 
 	getAvailable(budgetId: string, now: Milliseconds): number {
-		this.#advance(now);
+		this.#advanceOnTake(now);
 		return this.holdings.find(budgetId)?.getAvailable(now) ?? 0;
 	}
 
@@ -218,6 +215,12 @@
 		return this.#stopping?.isBusy(now) ?? false;
 	}
 
+	#advanceOnTake(now: Milliseconds): void {
+		if (this.#safeguards.checkOnTake) {
+			this.#advance(now);
+		}
+	}
+
 	#advance(now: Milliseconds): void {
 		for (const group of this.groups.values()) {
 			group.root.advance(now);
--- a/packages/budgets/src/group.ts
+++ b/packages/budgets/src/group.ts
@@ -100,16 +100,23 @@
 	advance(context: Context): void {
 		this.client.advance(context);
 		this.root.advance(context.now);
-		if (!this.client.isReady(context.now)) {
+		if (!this.client.isIdle(context.now)) {
 			return;
 		}
 
 		const write = this.client.isMissing
 			? this.#planCreation(context.now)
 			: this.#planUpdate(context.now);
-		if (write !== undefined) {
+		if (write === undefined) {
+			return;
+		}
+
+		if (this.client.isFresh(context.now)) {
+			this.#limitGifts(write);
 			this.#limitPromises(write);
 			this.client.send(write, context);
+		} else {
+			this.client.refresh(context);
 		}
 	}
 
@@ -385,7 +392,6 @@
 			return undefined;
 		}
 
-		this.root.setEntry({...held, to}, now);
 		return given;
 	}
 
@@ -504,6 +510,16 @@
 		return renewedAt + promiseSpan;
 	}
 
+	/** Debits what is given away before the write is sent. */
+	#limitGifts(write: LedgerWrite): void {
+		for (const {id, to} of write.entries) {
+			const held = this.root.findEntry(id);
+			if (held !== undefined && to < held.to) {
+				this.root.setEntry({...held, to}, write.sentAt);
+			}
+		}
+	}
+
 	/**
 	 * While it is not known which guarantor the store holds, no promise of the
 	 * former one counts beyond the span that the new one would grant.
--- a/packages/budgets/src/ledger-client.ts
+++ b/packages/budgets/src/ledger-client.ts
@@ -61,13 +61,14 @@
 		this.#onWriteEnded = onWriteEnded;
 	}
 
-	/** Whether a write may be planned from the ledger as known. */
-	isReady(now: Milliseconds): boolean {
-		return (
-			this.#state === 'ready' &&
-			now >= this.#nextWriteAt &&
-			now - this.#answeredAt < storeFreshness
-		);
+	/** Whether neither a read nor a write is on its way. */
+	isIdle(now: Milliseconds): boolean {
+		return this.#state === 'ready' && now >= this.#nextWriteAt;
+	}
+
+	/** Whether the store answered so lately that a write may be sent. */
+	isFresh(now: Milliseconds): boolean {
+		return now - this.#answeredAt < storeFreshness;
 	}
 
 	/** Whether the store said that there is no ledger yet. */
@@ -79,12 +80,9 @@
 		context.emit({type: 'watch-object', name: this.name});
 	}
 
-	/** Reads before a write is planned on what may be outdated. */
+	/** Reads, so that a write may follow. */
 	refresh(context: Context): void {
-		const isStale = context.now - this.#answeredAt >= storeFreshness;
-		if (this.#state === 'ready' && isStale) {
-			this.#read(context, 'reading');
-		}
+		this.#read(context, 'reading');
 	}
 
 	/** Does what time demands: reads again, or repeats a write. */
--- a/packages/budgets/src/messenger.ts
+++ b/packages/budgets/src/messenger.ts
@@ -72,10 +72,8 @@
 
 		const state = parsed.data;
 		const peer = peers.findOrCreate(event.from, context.now);
-		const isNew =
-			peer !== undefined &&
-			(state.sequence > peer.heardSequence || !safeguards.dropReordered);
-		if (isNew) {
+		// A message that a later one has overtaken could lengthen a right.
+		if (peer !== undefined && state.sequence > peer.heardSequence) {
 			this.#receive(peer, state, changed, context.now);
 		}
 
@@ -132,7 +130,7 @@
 		now: Milliseconds,
 	): void {
 		const {book, policy, groups} = this.#options;
-		peer.heardSequence = Math.max(state.sequence, peer.heardSequence);
+		peer.heardSequence = state.sequence;
 		peer.heardStamp = state.stamp;
 		peer.heardAt = now;
 		peer.isStopping = state.stopping;
--- a/packages/budgets/src/rate-holding.ts
+++ b/packages/budgets/src/rate-holding.ts
@@ -77,9 +77,7 @@
 	giveBack(amount: number, now: Milliseconds): void {
 		this.#settle(now);
 		this.#parts += Math.floor(amount) * partsPerToken;
-		if (this.#safeguards.capGiveBack) {
-			this.#limit(now);
-		}
+		this.#limit(now);
 	}
 
 	getAvailable(now: Milliseconds): number {
@@ -114,6 +112,10 @@
 	): Omit<Slice, 'budgetId'> {
 		this.#settle(now);
 		const held = this.#units;
+		if (held === 0) {
+			return {units, parts: 0};
+		}
+
 		const proportional = Math.floor((this.#parts / held) * units);
 		const wanted =
 			wantedAmount === undefined
--- a/packages/budgets/src/safeguards.ts
+++ b/packages/budgets/src/safeguards.ts
@@ -13,8 +13,6 @@
 	readonly debitBeforeCredit: boolean;
 	/** A transfer that arrives again is not credited again. */
 	readonly applyOnce: boolean;
-	/** A message that a later one has overtaken is dropped. */
-	readonly dropReordered: boolean;
 	/** A guarantor waits for the end of its promise. */
 	readonly waitForPromise: boolean;
 	/** A loan is taken back only when its borrower's right has ended. */
@@ -27,8 +25,6 @@
 	readonly waitForHolds: boolean;
 	/** Messages for another process of the same name are dropped. */
 	readonly checkIncarnation: boolean;
-	/** Tokens given back never raise a bucket over its capacity. */
-	readonly capGiveBack: boolean;
 	/** A share is given away only when nothing lent or in use needs it. */
 	readonly checkGift: boolean;
 	/** A write without an answer counts as applied until a read tells. */
@@ -41,14 +37,12 @@
 	checkOnTake: true,
 	debitBeforeCredit: true,
 	applyOnce: true,
-	dropReordered: true,
 	waitForPromise: true,
 	waitForLoan: true,
 	needPromise: true,
 	startEmpty: true,
 	waitForHolds: true,
 	checkIncarnation: true,
-	capGiveBack: true,
 	checkGift: true,
 	keepUnknownWrite: true,
 };
