--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -32,6 +32,7 @@
 	readonly holdings: Holdings;
 	readonly #self: EntryHost;
 	readonly #safeguards: Safeguards;
+	readonly #isLending: boolean;
 	readonly #policy: LendingPolicy;
 	readonly #messenger: Messenger;
 	readonly #wanted = new Map<string, number>();
@@ -41,10 +42,11 @@
 	#lastTakenAt = Number.NEGATIVE_INFINITY;
 	#configured = new Set<string>();
 
-	constructor(kernel: Kernel, safeguards: Safeguards) {
+	constructor(kernel: Kernel, safeguards: Safeguards, isLending: boolean) {
 		super();
 		this.#self = kernel.self;
 		this.#safeguards = safeguards;
+		this.#isLending = isLending;
 		this.holdings = new Holdings(safeguards, this.groups);
 		this.book = new LoanBook(safeguards, (id) => this.holdings.findKept(id));
 		this.peers = new PeerTable(kernel.self);
@@ -98,7 +100,7 @@
 
 	want(budgetId: string, amount: number, context: Context): void {
 		const holding = this.holdings.find(budgetId);
-		if (holding === undefined) {
+		if (holding === undefined || !this.#isLending) {
 			return;
 		}
 
@@ -133,7 +135,9 @@
 		if (isDue) {
 			this.#gossipAt = now + gossipPeriod;
 			this.peers.removeOld(now);
-			this.#balance(now);
+			if (this.#isLending) {
+				this.#balance(now);
+			}
 		}
 
 		if (isDue || this.#wanted.size > 0) {
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -6,15 +6,19 @@
 export type BudgetsOptions = {
 	/** @internal Tests switch off single safeguards. */
 	readonly safeguards?: Partial<Safeguards>;
+	/** @internal Without lending each host keeps its static share. */
+	readonly isLending?: boolean;
 };
 
 class BudgetsPlugin extends Plugin {
 	readonly #safeguards: Safeguards;
+	readonly #isLending: boolean;
 	#budgets: EscrowedBudgets | undefined;
 
-	constructor(safeguards: Safeguards) {
+	constructor(safeguards: Safeguards, isLending: boolean) {
 		super();
 		this.#safeguards = safeguards;
+		this.#isLending = isLending;
 	}
 
 	get name(): string {
@@ -26,7 +30,11 @@
 	}
 
 	install(kernel: Kernel): void {
-		const budgets = new EscrowedBudgets(kernel, this.#safeguards);
+		const budgets = new EscrowedBudgets(
+			kernel,
+			this.#safeguards,
+			this.#isLending,
+		);
 		this.#budgets = budgets;
 		kernel.provide(budgetsKey, budgets);
 		kernel.on('configuration-changed', ({current}, context) => {
@@ -66,5 +74,6 @@
  * budgets.take(toCustomerBudgetId('hanlin'), 1, clock.now()); // 'taken'
  */
 export function createBudgets(options: BudgetsOptions = {}): Plugin {
-	return new BudgetsPlugin({...allSafeguards, ...options.safeguards});
+	const safeguards = {...allSafeguards, ...options.safeguards};
+	return new BudgetsPlugin(safeguards, options.isLending ?? true);
 }
