--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -32,6 +32,7 @@
 	readonly holdings: Holdings;
 	readonly #self: EntryHost;
 	readonly #safeguards: Safeguards;
+	readonly #isLending: boolean;
 	readonly #policy: LendingPolicy;
 	readonly #messenger: Messenger;
 	readonly #wanted = new Map<string, number>();
@@ -41,10 +42,11 @@
 	#lastTakenAt = Number.NEGATIVE_INFINITY;
 	#configured = new Set<string>();
 
-	constructor(kernel: Kernel, safeguards: Safeguards) {
+	constructor(kernel: Kernel, safeguards: Safeguards, isLending: boolean) {
 		super();
 		this.#self = kernel.self;
 		this.#safeguards = safeguards;
+		this.#isLending = isLending;
 		this.holdings = new Holdings(safeguards, this.groups);
 		this.book = new LoanBook(safeguards, (id) => this.holdings.findKept(id));
 		this.peers = new PeerTable(kernel.self);
@@ -76,10 +78,7 @@
 	}
 
 	take(budgetId: string, amount: number, now: Milliseconds): TakeResult {
-		if (this.#safeguards.checkOnTake) {
-			this.#advance(now);
-		}
-
+		this.#advanceOnTake(now);
 		const holding = this.holdings.find(budgetId);
 		if (holding === undefined) {
 			return 'unknown-budget';
@@ -101,7 +100,7 @@
 
 	want(budgetId: string, amount: number, context: Context): void {
 		const holding = this.holdings.find(budgetId);
-		if (holding === undefined) {
+		if (holding === undefined || !this.#isLending) {
 			return;
 		}
 
@@ -117,7 +116,7 @@
 	}
 
 	getAvailable(budgetId: string, now: Milliseconds): number {
-		this.#advance(now);
+		this.#advanceOnTake(now);
 		return this.holdings.find(budgetId)?.getAvailable(now) ?? 0;
 	}
 
@@ -136,7 +135,9 @@
 		if (isDue) {
 			this.#gossipAt = now + gossipPeriod;
 			this.peers.removeOld(now);
-			this.#balance(now);
+			if (this.#isLending) {
+				this.#balance(now);
+			}
 		}
 
 		if (isDue || this.#wanted.size > 0) {
@@ -218,6 +219,12 @@
 		return this.#stopping?.isBusy(now) ?? false;
 	}
 
+	#advanceOnTake(now: Milliseconds): void {
+		if (this.#safeguards.checkOnTake) {
+			this.#advance(now);
+		}
+	}
+
 	#advance(now: Milliseconds): void {
 		for (const group of this.groups.values()) {
 			group.root.advance(now);
