Ask likely lenders, and let a borrower return for the one who wants

Cause: a want moved too much from every host, and units lent on to a third host came back only by the next balance. The wanting host asks the peers that report most; a borrower returns the slice with a beneficiary.

--- a/packages/bench/src/budgets-fleet.ts
+++ b/packages/bench/src/budgets-fleet.ts
@@ -5,7 +5,6 @@
 	toCustomerBudgetId,
 	type Budgets,
 	type BudgetSpec,
-	type Context,
 	type Effect,
 	type Kernel,
 	type KernelEvent,
@@ -17,6 +16,7 @@
 
 const tickPeriod: Milliseconds = 50;
 const retryPeriod: Milliseconds = 5;
+const wantAgainPeriod: Milliseconds = 100;
 /** How long a request waits for a peer to lend. */
 export const longestWait: Milliseconds = 250;
 /** What the store itself takes for an answer. */
@@ -63,6 +63,7 @@
 	readonly #due = new Map<Milliseconds, Array<() => void>>();
 	readonly #objects = new Map<string, StoredObject>();
 	#incarnations = 0;
+	#wantedAmount: number | undefined;
 
 	constructor(options: FleetOptions) {
 		this.#options = options;
@@ -103,11 +104,12 @@
 				budgets.define(spec, context);
 			}
 		});
-		kernel.on('budget-changed', ({budgetId}, context) => {
-			this.#retry(host, budgetId, context);
+		kernel.on('budget-changed', ({budgetId}) => {
+			this.#retry(host, budgetId);
 		});
 		kernel.on('room-changed', ({pool}, context) => {
-			this.#retry(host, pool, context);
+			const waiting = host.waiting.get(pool)?.length ?? 0;
+			budgets.want(pool, this.#wantedAmount ?? waiting, context);
 		});
 		this.hosts[index] = host;
 		this.#handle(host, this.#createConfiguration());
@@ -165,7 +167,9 @@
 
 		queue.push({deadline: this.now + longestWait, onEnd});
 		host.waiting.set(budgetId, queue);
+		this.#wantedAmount = 1;
 		this.#handle(host, {type: 'room-changed', pool: budgetId});
+		this.#wantedAmount = undefined;
 	}
 
 	#runHost(index: number, host: FleetHost): void {
@@ -177,23 +181,26 @@
 			this.#handle(host, {type: 'tick'});
 		}
 
-		if ((this.now + index) % retryPeriod === 0) {
-			for (const [budgetId, queue] of host.waiting) {
-				if (queue.length > 0) {
-					this.#handle(host, {type: 'room-changed', pool: budgetId});
-				}
+		if ((this.now + index) % retryPeriod !== 0) {
+			return;
+		}
+
+		for (const [budgetId, queue] of host.waiting) {
+			this.#retry(host, budgetId);
+			const isDue = (this.now + index) % wantAgainPeriod === 0;
+			if (isDue && queue.length > 0) {
+				this.#handle(host, {type: 'room-changed', pool: budgetId});
 			}
 		}
 	}
 
-	#retry(host: FleetHost, budgetId: string, context: Context): void {
+	#retry(host: FleetHost, budgetId: string): void {
 		const queue = host.waiting.get(budgetId) ?? [];
 		while (queue.length > 0) {
 			const isLate = queue[0]!.deadline <= this.now;
 			const isTaken =
 				!isLate && host.budgets.take(budgetId, 1, this.now) === 'taken';
 			if (!isLate && !isTaken) {
-				host.budgets.want(budgetId, queue.length, context);
 				return;
 			}
 
--- a/packages/bench/src/budgets-scenario.ts
+++ b/packages/bench/src/budgets-scenario.ts
@@ -19,9 +19,17 @@
 ];
 
 /** How callers come to entry hosts. */
-export type Steering = 'spread' | 'steered';
+export type Steering =
+	/** To any host. */
+	| 'spread'
+	/** To three hosts for each customer. */
+	| 'steered'
+	/** Large customers to three hosts, small ones to one. */
+	| 'steered-by-burst';
 
 const steeredHosts = 3;
+/** A burst below this is kept whole on one host. */
+const smallBurst = 50;
 const warmUp: Milliseconds = 12 * second;
 
 export type ScenarioOptions = {
@@ -158,7 +166,9 @@
 			return live[this.fleet.random.choose(live.length)]!;
 		}
 
-		const chosen = this.fleet.random.choose(steeredHosts);
+		const isSmall = customers[index]!.burst < smallBurst;
+		const isWhole = isSmall && this.#options.steering === 'steered-by-burst';
+		const chosen = this.fleet.random.choose(isWhole ? 1 : steeredHosts);
 		return live[(this.#firstHost + index + chosen * 3) % live.length]!;
 	}
 }
--- a/packages/bench/src/budgets-table.ts
+++ b/packages/bench/src/budgets-table.ts
@@ -199,6 +199,11 @@
 	{title: 'static shares, spread', steering: 'spread', isLending: false},
 	{title: 'lending, spread', steering: 'spread', isLending: true},
 	{title: 'lending, steered to 3 hosts', steering: 'steered', isLending: true},
+	{
+		title: 'lending, steered to 3 hosts, small customers to 1',
+		steering: 'steered-by-burst',
+		isLending: true,
+	},
 ] as const;
 
 for (const site of [hanlin, tintwell]) {
--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -16,7 +16,9 @@
 import type {ProcessId} from './ledger.js';
 import {LoanBook} from './loan-book.js';
 import {stateTopic, type Want} from './messages.js';
+import {listLikelyLenders} from './likely-lenders.js';
 import {Messenger} from './messenger.js';
+import type {Peer} from './peer.js';
 import {PeerTable} from './peer-table.js';
 import type {Safeguards} from './safeguards.js';
 import {listSpecs} from './specs.js';
@@ -140,8 +142,9 @@
 			}
 		}
 
-		if (isDue || this.#wanted.size > 0) {
-			this.#sendWants([...this.#wanted.keys()], context);
+		this.#sendWants([...this.#wanted.keys()], context);
+		if (isDue) {
+			this.#messenger.sendAll(context);
 		}
 
 		this.#messenger.sendUrgent(context);
@@ -243,15 +246,26 @@
 	}
 
 	#sendWants(budgetIds: readonly string[], context: Context): void {
-		const wants: Want[] = [];
+		const {now} = context;
+		const asked = new Map<Peer, Want[]>();
 		for (const budgetId of budgetIds) {
 			const amount = this.#wanted.get(budgetId) ?? 0;
 			this.#wanted.delete(budgetId);
-			this.holdings.find(budgetId)?.demand.setWanted(amount, context.now);
-			wants.push({budgetId, amount});
+			const holding = this.holdings.find(budgetId);
+			if (holding === undefined) {
+				continue;
+			}
+
+			const lenders = listLikelyLenders(this.peers, holding, amount, now);
+			holding.demand.setWanted(amount, now);
+			for (const peer of lenders) {
+				asked.set(peer, [...(asked.get(peer) ?? []), {budgetId, amount}]);
+			}
 		}
 
-		this.#messenger.sendAll(wants, context);
+		for (const [peer, wants] of asked) {
+			this.#messenger.sendWants(peer, wants, context);
+		}
 	}
 
 	#balance(now: Milliseconds): void {
--- a/packages/budgets/src/lending-policy.ts
+++ b/packages/budgets/src/lending-policy.ts
@@ -1,8 +1,8 @@
-import type {Milliseconds} from '@parsleyvale/shared';
+import {second, type Milliseconds} from '@parsleyvale/shared';
 import type {Holding} from './holding.js';
 import type {Holdings} from './holdings.js';
 import type {LoanBook} from './loan-book.js';
-import type {ReportedDemand, Want} from './messages.js';
+import type {ReportedDemand, ReturnItem, Want} from './messages.js';
 import type {Peer} from './peer.js';
 import {guarantorSilence, wantMemory} from './timing.js';
 import {partsPerToken} from './units.js';
@@ -38,28 +38,22 @@
 	/** Serves a peer that cannot take what it needs. */
 	onWant(peer: Peer, want: Want, now: Milliseconds): void {
 		const holding = this.#holdings.find(want.budgetId);
-		const isShortHere =
-			holding !== undefined && now - holding.demand.wantedAt < wantMemory;
-		if (holding === undefined || isShortHere || peer.isStopping) {
-			return;
+		if (holding !== undefined && !peer.isStopping) {
+			this.#serve(peer, holding, want.amount, now);
 		}
-
-		peer.wants.set(want.budgetId, {...want, at: now});
-		this.#serve(peer, holding, want.amount, now);
 	}
 
-	/** Serves wants that could not be served before something came back. */
-	serveWants(
-		budgetId: string,
+	/** Lends what came back to the host that it came back for. */
+	onReturned(
+		item: ReturnItem,
 		peers: readonly Peer[],
 		now: Milliseconds,
 	): void {
-		const holding = this.#holdings.find(budgetId);
-		for (const peer of peers) {
-			const want = peer.wants.get(budgetId);
-			if (want !== undefined && now - want.at < wantMemory && holding) {
-				this.#serve(peer, holding, want.amount, now);
-			}
+		const holding = this.#holdings.find(item.budgetId);
+		const peer = peers.find(({name}) => name === item.beneficiary);
+		if (holding !== undefined && peer !== undefined && !peer.isStopping) {
+			const amount = item.parts / partsPerToken;
+			this.#lend(peer, holding, item.units, amount, now);
 		}
 	}
 
@@ -120,28 +114,52 @@
 		amount: number,
 		now: Milliseconds,
 	): void {
-		const free = holding.getFreeUnits(now);
-		if (holding.spec.kind === 'count') {
-			const isActive = holding.demand.isActive(now);
-			const kept = isActive ? Math.ceil(free / 4) : 0;
-			const idle = isActive ? 0 : Math.ceil(free * idlePart);
-			const units = Math.min(free - kept, Math.max(amount, idle));
-			this.#lend(peer, holding, Math.floor(units), undefined, now);
-			this.#returnSurplus(holding, holding.getFreeUnits(now) - kept, now);
+		const {spec} = holding;
+		const available = holding.getAvailable(now);
+		const perSecond = holding.demand.getPerSecond(now);
+		if (spec.kind === 'count') {
+			const kept = perSecond > 0 ? Math.ceil(available / 4) : 0;
+			const idle = perSecond > 0 ? 0 : Math.ceil(available * idlePart);
+			const units = Math.min(available - kept, Math.max(amount, idle));
+			this.#give(peer, holding, Math.floor(units), undefined, now);
 			return;
 		}
 
-		const {burst} = holding.spec;
-		const available = holding.getAvailable(now);
-		const kept = (holding.demand.getPerSecond(now) * keptDemand) / 1000;
-		const spare = Math.max(0, available + 1 - kept);
-		const idle = kept === 0 ? spare * idlePart : 0;
+		const kept = (perSecond * keptDemand) / second;
+		const isShortHere = now - holding.demand.wantedAt < wantMemory;
+		const spare = isShortHere ? available - 1 : available + 1 - kept;
+		const idle = perSecond === 0 ? spare * idlePart : 0;
 		const given = Math.min(spare, Math.max(amount, idle));
-		const units = Math.ceil((given * partsPerToken) / (burst * 1000));
-		this.#lend(peer, holding, units, given, now);
-		if (holding.borrowed > 0 && kept === 0) {
-			this.#returnSurplus(holding, holding.getUnits(now), now);
+		if (given > 0) {
+			const units = Math.ceil((given * partsPerToken) / (spec.burst * second));
+			this.#give(peer, holding, units, given, now);
+		}
+	}
+
+	/** Lends of the root share, then returns so that its lender lends on. */
+	#give(
+		peer: Peer,
+		holding: Holding,
+		units: number,
+		amount: number | undefined,
+		now: Milliseconds,
+	): void {
+		let left = units;
+		for (const lender of this.#book.listLenders()) {
+			const borrowed = lender.borrowed.get(holding.spec.id) ?? 0;
+			const part = Math.min(borrowed, holding.getFreeUnits(now), left);
+			if (part > 0 && left > 0) {
+				const wanted = {
+					amount: ((amount ?? 0) * part) / units,
+					beneficiary: peer.name,
+				};
+				this.#book.returnSlice(lender, holding, part, now, wanted);
+				left -= part;
+			}
 		}
+
+		const rest = amount === undefined ? undefined : (amount * left) / units;
+		this.#lend(peer, holding, left, rest, now);
 	}
 
 	#lend(
--- a/packages/budgets/src/loan-book.ts
+++ b/packages/budgets/src/loan-book.ts
@@ -112,9 +112,10 @@
 		holding: Holding,
 		units: number,
 		now: Milliseconds,
+		wanted?: {readonly amount: number; readonly beneficiary: string},
 	): void {
 		const budgetId = holding.spec.id;
-		const slice = holding.removeSlice(units, undefined, now);
+		const slice = holding.removeSlice(units, wanted?.amount, now);
 		holding.addBorrowed(-units, now);
 		this.#setBorrowed(
 			peer,
@@ -122,7 +123,8 @@
 			(peer.borrowed.get(budgetId) ?? 0) - units,
 		);
 		const epoch = peer.borrowedEpoch;
-		peer.addItem({kind: 'return', epoch, budgetId, ...slice});
+		const beneficiary = wanted?.beneficiary;
+		peer.addItem({kind: 'return', epoch, budgetId, ...slice, beneficiary});
 	}
 
 	/** Credits a slice that the peer lent. */
--- a/packages/budgets/src/messages.ts
+++ b/packages/budgets/src/messages.ts
@@ -18,7 +18,12 @@
 };
 
 const loanSchema = z.object({kind: z.literal('loan'), ...sliceFields});
-const returnSchema = z.object({kind: z.literal('return'), ...sliceFields});
+const returnSchema = z.object({
+	kind: z.literal('return'),
+	...sliceFields,
+	/** The host that the lender should lend the slice to. */
+	beneficiary: z.string().optional(),
+});
 
 /** The guarantor will never take this root share over. */
 const releaseSchema = z.object({
@@ -64,6 +69,8 @@
 	budgetId: z.string(),
 	perSecond: z.number().min(0),
 	units: z.int(),
+	/** Whole tokens or slots that are free. */
+	available: z.int().min(0),
 });
 
 const wantSchema = z.object({budgetId: z.string(), amount: z.number().min(0)});
@@ -98,6 +105,7 @@
 
 export type Item = z.infer<typeof itemSchema>;
 export type SliceItem = Extract<Item, {kind: 'loan' | 'return'}>;
+export type ReturnItem = Extract<Item, {kind: 'return'}>;
 export type Handover = z.infer<typeof handoverSchema>;
 export type Release = z.infer<typeof releaseSchema>;
 export type EntryPromise = z.infer<typeof promiseSchema>;
--- a/packages/budgets/src/messenger.ts
+++ b/packages/budgets/src/messenger.ts
@@ -42,13 +42,19 @@
 	}
 
 	/** Tells every peer the state of this host. */
-	sendAll(wants: readonly Want[], context: Context): void {
+	sendAll(context: Context): void {
 		const demands = this.#listDemands(context.now);
 		for (const peer of this.#options.peers.listPeers()) {
-			this.#send(peer, {wants, demands}, context);
+			this.#send(peer, {wants: [], demands}, context);
 		}
 	}
 
+	/** Asks a peer to lend. */
+	sendWants(peer: Peer, wants: readonly Want[], context: Context): void {
+		const demands = this.#listDemands(context.now);
+		this.#send(peer, {wants, demands}, context);
+	}
+
 	/** Sends what should not wait for the next regular message. */
 	sendUrgent(context: Context): void {
 		for (const peer of this.#options.peers.listPeers()) {
@@ -199,7 +205,7 @@
 			changed.add(item.budgetId);
 		} else if (item.kind === 'return') {
 			book.onReturn(peer, item, now);
-			policy.serveWants(item.budgetId, peers.listPeers(), now);
+			policy.onReturned(item, peers.listPeers(), now);
 			changed.add(item.budgetId);
 		} else if (item.kind === 'release') {
 			groups.get(item.group)?.onRelease(item, peer, now);
@@ -231,6 +237,7 @@
 			budgetId: holding.spec.id,
 			perSecond: Math.round(holding.demand.getPerSecond(now) * 100) / 100,
 			units: holding.getUnits(now),
+			available: holding.getAvailable(now),
 		}));
 	}
 }
--- a/packages/budgets/src/timing.ts
+++ b/packages/budgets/src/timing.ts
@@ -7,13 +7,13 @@
 export const renewalPeriod: Milliseconds = minute;
 
 /** How long a promise of a peer (guarantor or lender) holds. */
-export const promiseSpan: Milliseconds = 2 * second;
+export const promiseSpan: Milliseconds = second;
 
 /** How often a host tells each peer its state. */
-export const gossipPeriod: Milliseconds = 200;
+export const gossipPeriod: Milliseconds = 150;
 
 /** A guarantor that is silent for this long is replaced. */
-export const guarantorSilence: Milliseconds = 900;
+export const guarantorSilence: Milliseconds = 600;
 
 /** Least time between two calls to the store that follow a failure. */
 export const storeRetryPeriod: Milliseconds = second;
@@ -28,10 +28,10 @@
 export const ledgerReadPeriod: Milliseconds = 30 * second;
 
 /** Least time between two broadcasts that ask for one budget. */
-export const wantPeriod: Milliseconds = 15;
+export const wantPeriod: Milliseconds = 60;
 
-/** A host that asked for a budget so recently lends none of it. */
-export const wantMemory: Milliseconds = 100;
+/** How long a host tries to serve what a peer asked for. */
+export const wantMemory: Milliseconds = 250;
 
 /** A budget untouched for this long has no demand here. */
 export const demandMemory: Milliseconds = 5 * second;
