--- a/packages/requests/__tests__/fairness.test.ts
+++ b/packages/requests/__tests__/fairness.test.ts
@@ -86,6 +86,20 @@
 		expect(listKinds()).toEqual(['no-room', 'no-room']);
 	});
 
+	it('serves what has room behind a body that is too long for a link', () => {
+		const fleet = new Fleet({hosts: 1});
+		fleet.hosts[0]!.router.longestBody = 100;
+		const upload = {path: '/purchases', keyHash: 'key:lesson', bodyBytes: 200};
+		fleet.send(0, upload);
+		fleet.send(0, {path: '/entries', keyHash: 'key:lesson'});
+		fleet.send(0, {path: '/entries', keyHash: 'key:school'});
+		fleet.advance(1);
+		expect(fleet.attempts.length).toEqual(2);
+		fleet.hosts[0]!.router.longestBody = 300;
+		fleet.endAttempt(0, 'answered', answered);
+		expect(fleet.attempts.at(-1)?.forward.requestId).toEqual('r1');
+	});
+
 	const overtaking = (keepsTurn: boolean): string | undefined => {
 		const fleet = new Fleet({hosts: 1, safeguards: {keepsTurn}});
 		const [host] = fleet.hosts;
--- a/packages/requests/__tests__/fake-services.ts
+++ b/packages/requests/__tests__/fake-services.ts
@@ -125,15 +125,22 @@
 /** A pool with a few slots for each host. */
 export class FakeRouter extends Router {
 	readonly held = new Set<Choice>();
-	slots = 2;
+	slots: number;
 	hasServer = true;
+	longestBody = Number.POSITIVE_INFINITY;
+
+	constructor(slots = 2) {
+		super();
+		this.slots = slots;
+	}
 
 	choose(request: RoutingRequest): Result<Choice, ErrorKind> {
 		if (!this.hasServer) {
 			return Result.err(ErrorKind.NoServer);
 		}
 
-		if (this.held.size >= this.slots) {
+		const isTooLong = (request.bodyBytes ?? 0) > this.longestBody;
+		if (this.held.size >= this.slots || isTooLong) {
 			return Result.err(ErrorKind.NoRoom);
 		}
 
--- a/packages/requests/__tests__/fleet.ts
+++ b/packages/requests/__tests__/fleet.ts
@@ -32,6 +32,8 @@
 
 export type FleetOptions = {
 	readonly hosts: number;
+	/** Requests that the pool takes at once from each host. */
+	readonly slots?: number;
 	readonly safeguards?: RequestsOptions['safeguards'];
 };
 
@@ -80,7 +82,7 @@
 		leaving: false,
 	};
 	const budgets = new FakeBudgets();
-	const router = new FakeRouter();
+	const router = new FakeRouter(options.slots);
 	const membership = new FakeMembership(() => fleet.identities);
 	const {configuration} = fleet;
 	const kernel = createKernel({self: identity, random: () => 0})
--- a/packages/requests/__tests__/request-path.test.ts
+++ b/packages/requests/__tests__/request-path.test.ts
@@ -6,25 +6,59 @@
 
 const seed = 4;
 const hosts = 3;
-const sessions = 1500;
+// One slot lets queues form.
+const slots = 1;
+const sessions = 3000;
 
-/** The broken promise that the first failing session shows, if any. */
-function findBroken(
+type Findings = {
+	/** The broken promise that the first failing session shows, if any. */
+	readonly broken: string | undefined;
+	/** The ways in which requests ended. */
+	readonly endings: ReadonlySet<string>;
+};
+
+function runSessions(
 	safeguards: Partial<Safeguards>,
 	isHoldChecked: boolean,
-): string | undefined {
+): Findings {
+	const endings = new Set<string>();
 	const details = fc.check(
 		fc.property(sessionArbitrary, (operations) => {
-			const fleet = runSession(operations, {hosts, safeguards});
+			const fleet = runSession(operations, {hosts, slots, safeguards});
 			if (isHoldChecked) {
 				fleet.checkSettled();
 			}
+
+			for (const {kind, ends} of fleet.oracle.requests) {
+				endings.add(ends === 0 ? 'lost with its host' : (kind ?? 'answered'));
+			}
 		}),
 		{seed, numRuns: sessions, endOnFailure: true},
 	);
-	return details.failed ? String(details.errorInstance) : undefined;
+	const broken = details.failed ? String(details.errorInstance) : undefined;
+	return {broken, endings};
 }
 
+/** Endings that the sessions must reach, or else they show nothing. */
+const wantedEndings = [
+	'answered',
+	'answer-cut',
+	'caller-gone',
+	'claim-unavailable',
+	'deadline-exceeded',
+	'duplicate-completed',
+	'duplicate-in-progress',
+	'idempotency-key-reused',
+	'key-missing',
+	'key-withdrawn',
+	'lost with its host',
+	'no-room',
+	'no-server',
+	'outcome-unknown',
+	'server-refused',
+	'share-unavailable',
+];
+
 /** What each safeguard stands for, as the oracle says it. */
 const mutations: ReadonlyArray<readonly [keyof Safeguards, string]> = [
 	['repeatsOnlyWhatDidNotRun', 'runs at most once'],
@@ -41,13 +75,15 @@
 
 describe('request path', () => {
 	it('keeps its promises through faults of hosts, servers and store', () => {
-		expect(findBroken({}, true)).toEqual(undefined);
+		const {broken, endings} = runSessions({}, true);
+		expect(broken).toEqual(undefined);
+		expect([...endings].sort()).toEqual(wantedEndings.toSorted());
 	});
 
 	for (const [safeguard, promise] of mutations) {
 		it(`breaks a promise without ${safeguard}`, () => {
 			const isHoldChecked = promise === 'tokensBeyondSpent';
-			const broken = findBroken({[safeguard]: false}, isHoldChecked);
+			const {broken} = runSessions({[safeguard]: false}, isHoldChecked);
 			expect(broken ?? 'nothing broken').toInclude(promise);
 		});
 	}
--- a/packages/requests/src/fair-queue.ts
+++ b/packages/requests/src/fair-queue.ts
@@ -36,6 +36,11 @@
 	 * item of the lane that is longest for its weight is handed back instead.
 	 */
 	add(item: Item, {laneName, weight}: FairItem): Item | undefined {
+		if (this.#length === 0) {
+			// An empty queue forgets who was served: nobody waits for anything.
+			this.#lanes.clear();
+		}
+
 		const lane = this.#getLane(laneName, weight);
 		lane.items.push(item);
 		this.#length++;
@@ -60,6 +65,7 @@
 		const lane = this.#getLane(laneName, weight);
 		lane.items.unshift(item);
 		lane.pass -= 1 / lane.weight;
+		this.#pass = Math.min(this.#pass, lane.pass);
 		this.#length++;
 	}
 
@@ -126,11 +132,6 @@
 	#removeAt(laneName: string, lane: Lane<Item>, index: number): Item {
 		const [item] = lane.items.splice(index, 1);
 		this.#length--;
-		if (this.#length === 0) {
-			// An empty queue forgets who was served: nobody waits for anything.
-			this.#lanes.clear();
-		}
-
 		return item!;
 	}
 }
--- a/packages/requests/src/limits.ts
+++ b/packages/requests/src/limits.ts
@@ -9,6 +9,9 @@
 /** Requests that wait for room in one pool at once. */
 export const maximumQueueLength = 1024;
 
+/** Turns without room after which the others of a pool have to wait too. */
+export const maximumPassedOver = 4;
+
 /** Attempts at backend servers that one request may make. */
 export const maximumAttempts = 4;
 
--- a/packages/requests/src/place-queue.ts
+++ b/packages/requests/src/place-queue.ts
@@ -1,7 +1,7 @@
 import type {Context} from '@parsleyvale/kernel';
 import type {CustomerTable} from './customer-table.js';
 import {FairQueue} from './fair-queue.js';
-import {maximumQueueLength} from './limits.js';
+import {maximumPassedOver, maximumQueueLength} from './limits.js';
 import type {LiveRequest} from './live-request.js';
 
 /** What became of a request whose turn had come. */
@@ -39,17 +39,25 @@
 		this.#queues.get(request.route.pool)?.remove(request, laneName);
 	}
 
-	/** Gives requests of the pool their turns until one finds no room. */
+	/**
+	 * Gives requests of the pool their turns until a few find no room. One alone
+	 * says little: it may be too large for a link that others do not need.
+	 */
 	serve(pool: string, context: Context, onTurn: TurnListener): void {
 		const queue = this.#queues.get(pool);
+		const passedOver: LiveRequest[] = [];
 		let request = queue?.takeNext();
 		while (request !== undefined) {
 			if (onTurn(request, context) === 'no-room') {
-				queue?.putBack(request, this.#toItem(request));
-				return;
+				passedOver.push(request);
 			}
 
-			request = queue?.takeNext();
+			const isFull = passedOver.length >= maximumPassedOver;
+			request = isFull ? undefined : queue?.takeNext();
+		}
+
+		for (const waiting of passedOver.toReversed()) {
+			queue?.putBack(waiting, this.#toItem(waiting));
 		}
 	}
 
