Want one token for each waiting request; stop hosts in the fuzzing

Found by reading, not by a test. Change: each asks for one; a test says so. The fuzzing stops hosts.

--- a/packages/requests/__tests__/fake-services.ts
+++ b/packages/requests/__tests__/fake-services.ts
@@ -87,6 +87,8 @@
 /** Counts tokens; negative counts would mean one was taken from nothing. */
 export class FakeBudgets extends Budgets {
 	readonly tokens = new Map<string, number>();
+	/** What hosts were asked to lend, in all; a test lends when it wants to. */
+	readonly wanted = new Map<string, number>();
 	net = 0;
 
 	define(): void {
@@ -113,8 +115,8 @@
 		this.net--;
 	}
 
-	want(): void {
-		// A test lends when it wants to.
+	want(budgetId: string, amount: number): void {
+		this.wanted.set(budgetId, (this.wanted.get(budgetId) ?? 0) + amount);
 	}
 
 	getAvailable(budgetId: string): number {
--- a/packages/requests/__tests__/operations.ts
+++ b/packages/requests/__tests__/operations.ts
@@ -5,7 +5,7 @@
 import {Fleet, type FleetOptions} from './fleet.js';
 
 type IndexedOperation = {
-	readonly kind: 'repeat-end' | 'ghost' | 'replace' | 'cancel';
+	readonly kind: 'repeat-end' | 'ghost' | 'replace' | 'cancel' | 'stop';
 	readonly index: number;
 };
 
@@ -103,7 +103,7 @@
 
 const faults = fc.oneof(
 	fc.record({
-		kind: fc.constantFrom('repeat-end', 'ghost', 'replace', 'cancel'),
+		kind: fc.constantFrom('repeat-end', 'ghost', 'replace', 'cancel', 'stop'),
 		index,
 	}),
 	fc.record({
@@ -156,6 +156,12 @@
 			fleet.cancelRequest(operation.index);
 			break;
 		}
+
+		case 'stop': {
+			const host = fleet.hosts[operation.index % fleet.hosts.length]!;
+			fleet.deliver(host, {type: 'stop-requested'});
+			break;
+		}
 	}
 }
 
@@ -228,7 +234,8 @@
 		case 'repeat-end':
 		case 'ghost':
 		case 'replace':
-		case 'cancel': {
+		case 'cancel':
+		case 'stop': {
 			applyIndexed(fleet, operation);
 			break;
 		}
--- a/packages/requests/__tests__/request-checks.test.ts
+++ b/packages/requests/__tests__/request-checks.test.ts
@@ -1,8 +1,8 @@
 import {describe, it} from 'node:test';
-import {configurationSchema} from '@parsleyvale/shared';
+import {ErrorKind, configurationSchema} from '@parsleyvale/shared';
 import {expect} from 'earl';
 import {CustomerTable} from '../src/customer-table.js';
-import {maximumCustomerLabels} from '../src/limits.js';
+import {maximumCustomerLabels, shareWait} from '../src/limits.js';
 import {RequestMetrics} from '../src/request-metrics.js';
 import {RouteTable} from '../src/route-table.js';
 import {SessionRecorder} from './session-recorder.js';
@@ -62,7 +62,7 @@
 		expect(refusal).toEqual({
 			type: 'refuse',
 			requestId: 'r1',
-			kind: 'not-configured' as never,
+			kind: ErrorKind.NotConfigured,
 			retryAfter: undefined,
 		});
 	});
@@ -75,6 +75,41 @@
 	});
 });
 
+describe('waiting for a share of the rate', () => {
+	const budgetId = 'customer/lesson';
+
+	it('wants one token for each request, and serves first come first', () => {
+		const session = new SessionRecorder();
+		session.configure(0);
+		session.budgets.tokens.set(budgetId, 0);
+		for (const requestId of ['r1', 'r2', 'r3']) {
+			session.arrive(1, requestId, {path: '/entries'});
+		}
+
+		expect(session.budgets.wanted.get(budgetId)).toEqual(3);
+		session.budgets.tokens.set(budgetId, 2);
+		const effects = session.handle(5, {type: 'budget-changed', budgetId});
+		const sent = effects.map(
+			(effect) => effect.type === 'forward' && effect.requestId,
+		);
+		expect(sent).toEqual(['r1', 'r2']);
+	});
+
+	it('ends at the next arrival when its time is over', () => {
+		const session = new SessionRecorder();
+		session.configure(0);
+		session.budgets.tokens.set(budgetId, 0);
+		session.arrive(1, 'r1', {path: '/entries'});
+		const [refusal] = session.arrive(1 + shareWait, 'r2', {path: '/reports'});
+		expect(refusal).toEqual({
+			type: 'refuse',
+			requestId: 'r1',
+			kind: ErrorKind.ShareUnavailable,
+			retryAfter: undefined,
+		});
+	});
+});
+
 describe('tables of customers', () => {
 	it('give labels to a bounded number of customers', () => {
 		const metrics = new RequestMetrics();
--- a/packages/requests/__tests__/request-path.test.ts
+++ b/packages/requests/__tests__/request-path.test.ts
@@ -57,6 +57,7 @@
 	'outcome-unknown',
 	'server-refused',
 	'share-unavailable',
+	'stopping',
 ];
 
 /** What each safeguard stands for, as the oracle says it. */
--- a/packages/requests/src/rate-admission.ts
+++ b/packages/requests/src/rate-admission.ts
@@ -115,7 +115,8 @@
 		waiting.push(request);
 		this.#waiting.set(customer, waiting);
 		const budgetId = toCustomerBudgetId(customer);
-		this.#budgets.want(budgetId, waiting.length, context);
+		// Wants add up at the budgets: each request asks for its own token.
+		this.#budgets.want(budgetId, 1, context);
 	}
 
 	#retryCustomer(
