--- a/packages/requests/__tests__/fake-services.ts
+++ b/packages/requests/__tests__/fake-services.ts
@@ -87,6 +87,8 @@
 /** Counts tokens; negative counts would mean one was taken from nothing. */
 export class FakeBudgets extends Budgets {
 	readonly tokens = new Map<string, number>();
+	/** What hosts were asked to lend, in all; a test lends when it wants to. */
+	readonly wanted = new Map<string, number>();
 	net = 0;
 
 	define(): void {
@@ -113,8 +115,8 @@
 		this.net--;
 	}
 
-	want(): void {
-		// A test lends when it wants to.
+	want(budgetId: string, amount: number): void {
+		this.wanted.set(budgetId, (this.wanted.get(budgetId) ?? 0) + amount);
 	}
 
 	getAvailable(budgetId: string): number {
@@ -125,15 +127,22 @@
 /** A pool with a few slots for each host. */
 export class FakeRouter extends Router {
 	readonly held = new Set<Choice>();
-	slots = 2;
+	slots: number;
 	hasServer = true;
+	longestBody = Number.POSITIVE_INFINITY;
+
+	constructor(slots = 2) {
+		super();
+		this.slots = slots;
+	}
 
 	choose(request: RoutingRequest): Result<Choice, ErrorKind> {
 		if (!this.hasServer) {
 			return Result.err(ErrorKind.NoServer);
 		}
 
-		if (this.held.size >= this.slots) {
+		const isTooLong = (request.bodyBytes ?? 0) > this.longestBody;
+		if (this.held.size >= this.slots || isTooLong) {
 			return Result.err(ErrorKind.NoRoom);
 		}
 
