Introduce an entry host to each peer that has not heard it

Cause: a new test of look-ups failed: hosts that started together did not know one another for up to 5 s, because only every tenth heartbeat carried the sender's addresses and the platform's list lags. Change: in a small fleet a heartbeat to a host that was never heard carries them.

--- a/packages/membership/__tests__/member-fleet.ts
+++ b/packages/membership/__tests__/member-fleet.ts
@@ -12,11 +12,11 @@
 import {
 	configurationSchema,
 	ErrorKind,
-	type Configuration,
 	type EntryHost,
 	type VersionedConfiguration,
 } from '@parsleyvale/shared';
 import {Result} from 'true-myth';
+import type {z} from 'zod';
 import {createMembership, type MembershipPlugin} from '../src/index.js';
 import {Schedule} from './schedule.js';
 
@@ -46,7 +46,7 @@
 export class FakeConfiguration extends ConfigurationView {
 	current: VersionedConfiguration | undefined;
 
-	set(configuration: Partial<Configuration>): void {
+	set(configuration: z.input<typeof configurationSchema>): void {
 		this.current = {
 			version: 1,
 			operationId: 'test',
--- a/packages/membership/src/heartbeats.ts
+++ b/packages/membership/src/heartbeats.ts
@@ -16,7 +16,7 @@
 
 const updatesPerMessage = 6;
 
-/** Every so many heartbeats carry the sender's addresses. */
+/** Every so many heartbeats, and those to strangers, carry the addresses. */
 const introductionEvery = 10;
 
 type Parts = {
@@ -258,7 +258,10 @@
 
 	#send(to: string, context: Context): void {
 		const {self, load, table} = this.#parts;
-		const isIntroduction = this.#sentCount % introductionEvery === 0;
+		const isStranger = table.findMember(to)?.heardAt === undefined;
+		const isIntroduction =
+			(isStranger && this.#isAllToAll) ||
+			this.#sentCount % introductionEvery === 0;
 		const updates = this.#isAllToAll
 			? []
 			: this.#updates.take(updatesPerMessage, table.size);
