--- /dev/null
+++ b/packages/acceptance/src/control.ts
@@ -0,0 +1,40 @@
+import {execFile} from 'node:child_process';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
+
+const runFile = promisify(execFile);
+
+export type ControlOptions = {
+	/** Administration APIs of entry hosts, the first to be tried first. */
+	readonly urls: readonly string[];
+	readonly credentialFile: string;
+};
+
+/** Runs the operators' command-line tool as an operator would. */
+export class Control {
+	readonly #options: ControlOptions;
+	readonly #program = path.join(
+		path.dirname(fileURLToPath(import.meta.resolve('@parsleyvale/ctl'))),
+		'main.js',
+	);
+
+	constructor(options: ControlOptions) {
+		this.#options = options;
+	}
+
+	/** What the tool prints; throws when its exit code is not 0. */
+	async run(...parameters: readonly string[]): Promise<string> {
+		const {urls, credentialFile} = this.#options;
+		const {stdout} = await runFile(process.execPath, [
+			this.#program,
+			...parameters,
+			...urls.flatMap((url) => ['--url', url]),
+			'--credential-file',
+			credentialFile,
+			'--json',
+		]);
+		return stdout;
+	}
+}
--- a/packages/acceptance/src/fleet.ts
+++ b/packages/acceptance/src/fleet.ts
@@ -42,7 +42,7 @@
 
 const readyInterval: Milliseconds = 50;
 const readyTries = 200;
-const credential = 'acceptance-credential';
+export const credential = 'acceptance-credential';
 
 function toProgram(specifier: string, file: string): string {
 	const index = fileURLToPath(import.meta.resolve(specifier));
@@ -51,7 +51,7 @@
 
 /** Real processes on loopback: the stand-ins and the entry hosts. */
 export class Fleet {
-	readonly #folder = mkdtempSync(path.join(os.tmpdir(), 'parsleyvale-'));
+	readonly folder = mkdtempSync(path.join(os.tmpdir(), 'parsleyvale-'));
 	readonly #children = new Set<{kill(): Promise<void>}>();
 	#store: Child<StoreLine> | undefined;
 
@@ -92,7 +92,7 @@
 			store: {url: this.storeUrl},
 			...extra,
 		};
-		const file = path.join(this.#folder, `${place.name}.json`);
+		const file = path.join(this.folder, `${place.name}.json`);
 		writeFileSync(file, JSON.stringify(settings));
 		const program = toProgram('@parsleyvale/daemon', 'main.js');
 		const child = await startChild<HostLine>(program, ['--settings', file]);
@@ -201,7 +201,7 @@
 	/** Ends every process that this fleet started. */
 	async close(): Promise<void> {
 		await Promise.all([...this.#children].map(async (child) => child.kill()));
-		rmSync(this.#folder, {recursive: true, force: true});
+		rmSync(this.folder, {recursive: true, force: true});
 	}
 
 	#add<Line>(child: Child<Line>): Child<Line> {
--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -100,7 +100,6 @@
 	/** From now on every answer closes its connection. */
 	stop(): void {
 		this.#isStopping = true;
-		this.#server.closeIdleConnections();
 	}
 
 	async close(): Promise<void> {
