--- a/packages/budgets/__tests__/commands.ts
+++ b/packages/budgets/__tests__/commands.ts
@@ -2,7 +2,7 @@
 import {minute, type Milliseconds} from '@parsleyvale/shared';
 import type {StoreMode} from './fake-store.js';
 import {
-	World,
+	type World,
 	count,
 	fairWeather,
 	rate,
@@ -220,8 +220,13 @@
 			break;
 		}
 
-		default: {
+		case 'take':
+		case 'occupy':
+		case 'want':
+		case 'want-slot':
+		case 'undo': {
 			runUse(world, step.do, toIndex(step.host), step.amount);
+			break;
 		}
 	}
 }
@@ -237,15 +242,30 @@
 		return;
 	}
 
-	if (action === 'take') {
-		world.take(each, amount);
-	} else if (action === 'occupy') {
-		world.occupy(each, amount);
-	} else if (action === 'want') {
-		world.want(each, rate.id, amount);
-	} else if (action === 'want-slot') {
-		world.want(each, count.id, amount);
-	} else {
-		world.undo(each, amount);
+	switch (action) {
+		case 'take': {
+			world.take(each, amount);
+			break;
+		}
+
+		case 'occupy': {
+			world.occupy(each, amount);
+			break;
+		}
+
+		case 'want': {
+			world.want(each, rate.id, amount);
+			break;
+		}
+
+		case 'want-slot': {
+			world.want(each, count.id, amount);
+			break;
+		}
+
+		case 'undo': {
+			world.undo(each, amount);
+			break;
+		}
 	}
 }
--- a/packages/budgets/__tests__/world.ts
+++ b/packages/budgets/__tests__/world.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {
 	budgetsKey,
@@ -90,6 +91,7 @@
 			new RateOracle(spec.perSecond, spec.burst),
 		]),
 	);
+
 	readonly #count = new CountOracle(count.total);
 	#deliveries: Delivery[] = [];
 	#holds: Hold[] = [];
@@ -107,6 +109,7 @@
 				}
 			}
 		};
+
 		for (let index = 0; index < size; index++) {
 			this.addHost(index);
 		}
@@ -370,7 +373,7 @@
 				const clock = this.toClock(host);
 				// Looks at the clock as a take would.
 				budgets.getAvailable(budgetId, clock);
-				const holding = budgets.holdings.find(budgetId)!;
+				const holding = budgets.holdings.findBudget(budgetId)!;
 				units += host.isAlive ? holding.getUnits(clock) : 0;
 			}
 
--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -81,7 +81,7 @@
 
 	take(budgetId: string, amount: number, now: Milliseconds): TakeResult {
 		this.#advanceOnTake(now);
-		const holding = this.holdings.find(budgetId);
+		const holding = this.holdings.findBudget(budgetId);
 		if (holding === undefined) {
 			return 'unknown-budget';
 		}
@@ -101,7 +101,7 @@
 	}
 
 	want(budgetId: string, amount: number, context: Context): void {
-		const holding = this.holdings.find(budgetId);
+		const holding = this.holdings.findBudget(budgetId);
 		if (holding === undefined || !this.#isLending) {
 			return;
 		}
@@ -119,7 +119,7 @@
 
 	getAvailable(budgetId: string, now: Milliseconds): number {
 		this.#advanceOnTake(now);
-		return this.holdings.find(budgetId)?.getAvailable(now) ?? 0;
+		return this.holdings.findBudget(budgetId)?.getAvailable(now) ?? 0;
 	}
 
 	/** Does all that is done by time. */
@@ -251,7 +251,7 @@
 		for (const budgetId of budgetIds) {
 			const amount = this.#wanted.get(budgetId) ?? 0;
 			this.#wanted.delete(budgetId);
-			const holding = this.holdings.find(budgetId);
+			const holding = this.holdings.findBudget(budgetId);
 			if (holding === undefined) {
 				continue;
 			}
@@ -284,7 +284,7 @@
 		}
 
 		for (const id of ids) {
-			const holding = this.holdings.find(id);
+			const holding = this.holdings.findBudget(id);
 			if (holding !== undefined) {
 				this.#policy.balance(holding, peers, now);
 			}
@@ -310,7 +310,7 @@
 			this.#safeguards,
 			{
 				self,
-				findPeer: (process) => peers.find(process),
+				findPeer: (process) => peers.findProcess(process),
 				chooseGuarantor: (current, now) =>
 					chooseGuarantor(this.#self, peers, current, now),
 				listReceivers: (now) => listReceivers(peers, ownRegion, now),
--- a/packages/budgets/src/group.ts
+++ b/packages/budgets/src/group.ts
@@ -44,7 +44,6 @@
 
 /** Root shares of one group of budgets: the ledger, leases and promises. */
 export class Group {
-	readonly name: string;
 	readonly root: RootShare;
 	readonly client: LedgerClient;
 	readonly wards: Wards;
@@ -61,15 +60,14 @@
 	/** Ends of promises as they were before a write that may change them. */
 	readonly #limited = new Map<string, Milliseconds>();
 	#renewAt = Number.NEGATIVE_INFINITY;
-	#renewalJitter = 0;
+	readonly #renewalJitter: number;
 
 	constructor(
-		name: string,
+		readonly name: string,
 		safeguards: Safeguards,
 		neighbours: GroupNeighbours,
 		random: () => number,
 	) {
-		this.name = name;
 		this.#safeguards = safeguards;
 		this.#neighbours = neighbours;
 		this.root = new RootShare(safeguards);
@@ -285,7 +283,7 @@
 		const due = this.#listDue(now);
 		let isNeeded = now >= this.#renewAt;
 		let mark: Entry | undefined;
-		let entries: readonly Entry[] = ledger.entries;
+		let {entries} = ledger;
 		for (const entry of ledger.entries) {
 			const next = this.#planEntry(entry, due, now);
 			if (next === undefined) {
@@ -388,7 +386,7 @@
 		}
 
 		const given = mergeGifts(ledger, entry, receivers);
-		const to = given.find((each) => each.id === held.id)!.to;
+		const {to} = (given.find((each) => each.id === held.id)!);
 		const kept = this.#listSettled(now).map((each) =>
 			each.id === held.id ? {...each, to} : each,
 		);
--- a/packages/budgets/src/holdings.ts
+++ b/packages/budgets/src/holdings.ts
@@ -64,7 +64,7 @@
 	}
 
 	/** The holding of a defined budget, made at the first use. */
-	find(budgetId: string): Holding | undefined {
+	findBudget(budgetId: string): Holding | undefined {
 		const holding = this.#holdings.get(budgetId);
 		const definition = this.#definitions.get(budgetId);
 		if (holding !== undefined || definition === undefined) {
@@ -78,7 +78,7 @@
 
 	/** Also finds what is left of a removed budget. */
 	findKept(budgetId: string): Holding | undefined {
-		return this.find(budgetId) ?? this.#holdings.get(budgetId);
+		return this.findBudget(budgetId) ?? this.#holdings.get(budgetId);
 	}
 
 	list(): IterableIterator<Holding> {
--- a/packages/budgets/src/ledger-client.ts
+++ b/packages/budgets/src/ledger-client.ts
@@ -36,7 +36,6 @@
 
 /** Reads, watches and conditionally updates one group's ledger. */
 export class LedgerClient {
-	readonly name: string;
 	ledger: VersionedLedger = {version: 0, entries: []};
 	write: LedgerWrite | undefined;
 	readonly #safeguards: Safeguards;
@@ -52,11 +51,10 @@
 	#mayBeApplied = false;
 
 	constructor(
-		name: string,
+		readonly name: string,
 		safeguards: Safeguards,
 		onWriteEnded: WriteListener,
 	) {
-		this.name = name;
 		this.#safeguards = safeguards;
 		this.#onWriteEnded = onWriteEnded;
 	}
--- a/packages/budgets/src/lending-policy.ts
+++ b/packages/budgets/src/lending-policy.ts
@@ -1,7 +1,7 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
 import type {Holding} from './holding.js';
 import type {Holdings} from './holdings.js';
-import type {LoanBook} from './loan-book.js';
+import type {LoanBook, Order} from './loan-book.js';
 import type {ReportedDemand, ReturnItem, Want} from './messages.js';
 import type {Peer} from './peer.js';
 import {guarantorSilence, wantMemory} from './timing.js';
@@ -37,7 +37,7 @@
 
 	/** Serves a peer that cannot take what it needs. */
 	onWant(peer: Peer, want: Want, now: Milliseconds): void {
-		const holding = this.#holdings.find(want.budgetId);
+		const holding = this.#holdings.findBudget(want.budgetId);
 		if (holding !== undefined && !peer.isStopping) {
 			this.#serve(peer, holding, want.amount, now);
 		}
@@ -49,11 +49,11 @@
 		peers: readonly Peer[],
 		now: Milliseconds,
 	): void {
-		const holding = this.#holdings.find(item.budgetId);
+		const holding = this.#holdings.findBudget(item.budgetId);
 		const peer = peers.find(({name}) => name === item.beneficiary);
 		if (holding !== undefined && peer !== undefined && !peer.isStopping) {
 			const amount = item.parts / partsPerToken;
-			this.#lend(peer, holding, item.units, amount, now);
+			this.#lend(peer, holding, {units: item.units, amount}, now);
 		}
 	}
 
@@ -62,7 +62,7 @@
 		const lenders = lender === undefined ? this.#book.listLenders() : [lender];
 		for (const peer of lenders) {
 			for (const budgetId of peer.borrowed.keys()) {
-				const holding = this.#holdings.find(budgetId);
+				const holding = this.#holdings.findBudget(budgetId);
 				if (holding !== undefined) {
 					this.#return(peer, holding, Number.MAX_SAFE_INTEGER, now);
 				}
@@ -104,7 +104,7 @@
 				left,
 				Math.floor((deficit * surplusHere) / surplusOfAll),
 			);
-			this.#lend(each.peer, holding, units, undefined, now);
+			this.#lend(each.peer, holding, {units}, now);
 		}
 	}
 
@@ -121,7 +121,7 @@
 			const kept = perSecond > 0 ? Math.ceil(available / 4) : 0;
 			const idle = perSecond > 0 ? 0 : Math.ceil(available * idlePart);
 			const units = Math.min(available - kept, Math.max(amount, idle));
-			this.#give(peer, holding, Math.floor(units), undefined, now);
+			this.#give(peer, holding, {units: Math.floor(units)}, now);
 			return;
 		}
 
@@ -132,50 +132,40 @@
 		const given = Math.min(spare, Math.max(amount, idle));
 		if (given > 0) {
 			const units = Math.ceil((given * partsPerToken) / (spec.burst * second));
-			this.#give(peer, holding, units, given, now);
+			this.#give(peer, holding, {units, amount: given}, now);
 		}
 	}
 
 	/** Lends of the root share, then returns so that its lender lends on. */
-	#give(
-		peer: Peer,
-		holding: Holding,
-		units: number,
-		amount: number | undefined,
-		now: Milliseconds,
-	): void {
+	#give(peer: Peer, holding: Holding, order: Order, now: Milliseconds): void {
+		const {units, amount} = order;
 		let left = units;
 		for (const lender of this.#book.listLenders()) {
 			const borrowed = lender.borrowed.get(holding.spec.id) ?? 0;
 			const part = Math.min(borrowed, holding.getFreeUnits(now), left);
-			if (part > 0 && left > 0) {
-				const wanted = {
+			if (part > 0) {
+				const returned = {
+					units: part,
 					amount: ((amount ?? 0) * part) / units,
 					beneficiary: peer.name,
 				};
-				this.#book.returnSlice(lender, holding, part, now, wanted);
+				this.#book.returnSlice(lender, holding, returned, now);
 				left -= part;
 			}
 		}
 
 		const rest = amount === undefined ? undefined : (amount * left) / units;
-		this.#lend(peer, holding, left, rest, now);
+		this.#lend(peer, holding, {units: left, amount: rest}, now);
 	}
 
-	#lend(
-		peer: Peer,
-		holding: Holding,
-		units: number,
-		wantedAmount: number | undefined,
-		now: Milliseconds,
-	): void {
-		const most = Math.min(
+	#lend(peer: Peer, holding: Holding, order: Order, now: Milliseconds): void {
+		const units = Math.min(
 			holding.getRootUnits(now),
 			holding.getFreeUnits(now),
-			units,
+			order.units,
 		);
-		if (most > 0 && peer.isHeard(now, guarantorSilence)) {
-			this.#book.lend(peer, holding, most, wantedAmount, now);
+		if (units > 0 && peer.isHeard(now, guarantorSilence)) {
+			this.#book.lend(peer, holding, {...order, units}, now);
 		}
 	}
 
@@ -201,7 +191,7 @@
 			most,
 		);
 		if (units > 0) {
-			this.#book.returnSlice(lender, holding, units, now);
+			this.#book.returnSlice(lender, holding, {units}, now);
 		}
 
 		return Math.max(0, units);
--- a/packages/budgets/src/loan-book.ts
+++ b/packages/budgets/src/loan-book.ts
@@ -6,6 +6,13 @@
 import {promiseSpan} from './timing.js';
 import {toEarlySpan, toLateSpan} from './units.js';
 
+/** How much moves. */
+export type Order = {
+	readonly units: number;
+	/** Tokens to go with a rate; undefined: in proportion to the units. */
+	readonly amount?: number | undefined;
+};
+
 type FindHolding = (budgetId: string) => Holding | undefined;
 
 /** Moves slices of budgets between this host and its peers. */
@@ -88,15 +95,10 @@
 	}
 
 	/** Debits a slice of this host's root share and sends it. */
-	lend(
-		peer: Peer,
-		holding: Holding,
-		units: number,
-		wantedAmount: number | undefined,
-		now: Milliseconds,
-	): void {
+	lend(peer: Peer, holding: Holding, order: Order, now: Milliseconds): void {
+		const {units, amount} = order;
 		const budgetId = holding.spec.id;
-		const slice = holding.removeSlice(units, wantedAmount, now);
+		const slice = holding.removeSlice(units, amount, now);
 		if (this.#safeguards.debitBeforeCredit) {
 			holding.addLent(units, now);
 			peer.lent.set(budgetId, (peer.lent.get(budgetId) ?? 0) + units);
@@ -110,12 +112,12 @@
 	returnSlice(
 		peer: Peer,
 		holding: Holding,
-		units: number,
+		order: Order & {readonly beneficiary?: string},
 		now: Milliseconds,
-		wanted?: {readonly amount: number; readonly beneficiary: string},
 	): void {
+		const {units, amount, beneficiary} = order;
 		const budgetId = holding.spec.id;
-		const slice = holding.removeSlice(units, wanted?.amount, now);
+		const slice = holding.removeSlice(units, amount, now);
 		holding.addBorrowed(-units, now);
 		this.#setBorrowed(
 			peer,
@@ -123,7 +125,6 @@
 			(peer.borrowed.get(budgetId) ?? 0) - units,
 		);
 		const epoch = peer.borrowedEpoch;
-		const beneficiary = wanted?.beneficiary;
 		peer.addItem({kind: 'return', epoch, budgetId, ...slice, beneficiary});
 	}
 
--- a/packages/budgets/src/messenger.ts
+++ b/packages/budgets/src/messenger.ts
@@ -65,7 +65,7 @@
 		}
 	}
 
-	/** Takes a message; true when something was credited. */
+	/** Takes a message; tells the budgets that something came for. */
 	onMessage(event: PeerMessage, context: Context): Set<string> {
 		const changed = new Set<string>();
 		const {safeguards, incarnation, peers} = this.#options;
@@ -200,17 +200,29 @@
 		}
 
 		peer.applied = Math.max(item.sequence, peer.applied);
-		if (item.kind === 'loan') {
-			book.onLoan(peer, item, now);
-			changed.add(item.budgetId);
-		} else if (item.kind === 'return') {
-			book.onReturn(peer, item, now);
-			policy.onReturned(item, peers.listPeers(), now);
-			changed.add(item.budgetId);
-		} else if (item.kind === 'release') {
-			groups.get(item.group)?.onRelease(item, peer, now);
-		} else {
-			this.#onHandover(peer, item, now);
+		switch (item.kind) {
+			case 'loan': {
+				book.onLoan(peer, item, now);
+				changed.add(item.budgetId);
+				break;
+			}
+
+			case 'return': {
+				book.onReturn(peer, item, now);
+				policy.onReturned(item, peers.listPeers(), now);
+				changed.add(item.budgetId);
+				break;
+			}
+
+			case 'release': {
+				groups.get(item.group)?.onRelease(item, peer, now);
+				break;
+			}
+
+			case 'handover': {
+				this.#onHandover(peer, item, now);
+				break;
+			}
 		}
 	}
 
@@ -221,7 +233,7 @@
 		}
 
 		for (const {budgetId, parts} of item.parts) {
-			holdings.find(budgetId)?.addParts(parts, now);
+			holdings.findBudget(budgetId)?.addParts(parts, now);
 		}
 	}
 
--- a/packages/budgets/src/peer-table.ts
+++ b/packages/budgets/src/peer-table.ts
@@ -31,7 +31,7 @@
 		return [...this.#current.values()];
 	}
 
-	find(process: ProcessId): Peer | undefined {
+	findProcess(process: ProcessId): Peer | undefined {
 		return this.#records.get(toKey(process));
 	}
 
--- a/packages/budgets/src/peer.ts
+++ b/packages/budgets/src/peer.ts
@@ -5,9 +5,6 @@
 
 /** What this host knows of, owes to and lends to one process of a peer. */
 export class Peer {
-	readonly name: string;
-	readonly incarnation: string;
-	readonly knownSince: Milliseconds;
 	sentSequence = 0;
 	heardSequence = 0;
 	/** The peer's clock in its latest message. */
@@ -41,11 +38,11 @@
 	isUrgent = false;
 	#itemSequence = 0;
 
-	constructor(name: string, incarnation: string, knownSince: Milliseconds) {
-		this.name = name;
-		this.incarnation = incarnation;
-		this.knownSince = knownSince;
-	}
+	constructor(
+		readonly name: string,
+		readonly incarnation: string,
+		readonly knownSince: Milliseconds,
+	) {}
 
 	/** Queues an item; it is sent until the peer acknowledges it. */
 	addItem(item: NewItem): void {
--- a/packages/budgets/src/stopping.ts
+++ b/packages/budgets/src/stopping.ts
@@ -72,7 +72,7 @@
 
 		for (const [name, group] of this.#parts.groups) {
 			for (const entry of group.wards.release(group.claimed)) {
-				peers.find(entry.holder)?.addItem({
+				peers.findProcess(entry.holder)?.addItem({
 					kind: 'release',
 					group: name,
 					entryId: entry.id,
@@ -92,26 +92,26 @@
 	}
 
 	#handOver(now: Milliseconds): void {
-		for (const [name, group] of this.#parts.groups) {
+		for (const group of this.#parts.groups.values()) {
 			const heirs = this.#listHeirs(now).filter((peer) =>
 				group.isMember(peer.name),
 			);
 			for (const held of group.root.listEntries()) {
 				const heir = group.findHeir(held, heirs);
 				if (heir !== undefined && held.hardEnd > now) {
-					this.#handEntryOver(name, group, held, heir, now);
+					this.#handEntryOver(group, held, heir, now);
 				}
 			}
 		}
 	}
 
 	#handEntryOver(
-		groupName: string,
 		group: Group,
 		held: HeldEntry,
 		heir: Peer,
 		now: Milliseconds,
 	): void {
+		const groupName = group.name;
 		const {holdings, hasClockMargin} = this.#parts;
 		const isClean =
 			held.takenOverAt === undefined &&
