--- a/packages/routing/__tests__/routing-fuzzing.test.ts
+++ b/packages/routing/__tests__/routing-fuzzing.test.ts
@@ -6,7 +6,7 @@
 import {stepsArbitrary} from './support/fleet-steps.js';
 
 const seed = 4;
-const numRuns = 300;
+const numRuns = 1000;
 
 /** The first problem that the oracle found, if any. */
 function findProblem(safeguards: Partial<Safeguards>): string | undefined {
