--- a/packages/requests/__tests__/fleet.ts
+++ b/packages/requests/__tests__/fleet.ts
@@ -1,12 +1,10 @@
 import {
-	createKernel,
 	toCustomerBudgetId,
 	type AttemptEnded,
 	type AttemptOutcome,
 	type CancelAttempt,
 	type Effect,
 	type Forward,
-	type Kernel,
 	type KernelEvent,
 	type ReadObject,
 	type RequestArrived,
@@ -14,21 +12,11 @@
 	type WriteObject,
 } from '@parsleyvale/kernel';
 import type {EntryHost, Milliseconds} from '@parsleyvale/shared';
-import {
-	createClaims,
-	createRequests,
-	type RequestsOptions,
-} from '../src/index.js';
-import {
-	FakeBudgets,
-	FakeConfiguration,
-	FakeMembership,
-	FakeRouter,
-	createFakeServices,
-	versioned,
-} from './fake-services.js';
+import type {RequestsOptions} from '../src/index.js';
+import {FakeConfiguration, versioned} from './fake-services.js';
 import {FakeStore, type StoreFate} from './fake-store.js';
 import {Oracle} from './oracle.js';
+import {createFakeHost, type FakeHost} from './fake-host.js';
 
 export type FleetOptions = {
 	readonly hosts: number;
@@ -37,11 +25,7 @@
 	readonly safeguards?: RequestsOptions['safeguards'];
 };
 
-type Host = {
-	readonly identity: EntryHost;
-	readonly kernel: Kernel;
-	readonly budgets: FakeBudgets;
-	readonly router: FakeRouter;
+type Host = FakeHost & {
 	/** Events that reach the host only when it is thawed. */
 	readonly inbox: KernelEvent[];
 	isFrozen: boolean;
@@ -66,43 +50,6 @@
 	readonly call: ReadObject | WriteObject;
 };
 
-function createHost(
-	name: string,
-	incarnation: number,
-	fleet: Fleet,
-	options: FleetOptions,
-): Host {
-	const identity: EntryHost = {
-		name,
-		incarnation: `${name}.${incarnation}`,
-		region: 'tpe',
-		failureDomain: 'tpe-a',
-		callers: {address: '127.0.0.1', port: 1},
-		peers: {address: '127.0.0.1', port: 2},
-		leaving: false,
-	};
-	const budgets = new FakeBudgets();
-	const router = new FakeRouter(options.slots);
-	const membership = new FakeMembership(() => fleet.identities);
-	const {configuration} = fleet;
-	const kernel = createKernel({self: identity, random: () => 0})
-		.use(createFakeServices({configuration, budgets, router, membership}))
-		.use(createClaims(options))
-		.use(createRequests(options));
-	kernel.on('request-ended', (event) => {
-		fleet.oracle.addEnd(event.requestId, event.kind);
-	});
-	return {
-		identity,
-		kernel,
-		budgets,
-		router,
-		inbox: [],
-		isFrozen: false,
-		spent: 0,
-	};
-}
-
 /** Kernels of several entry hosts with what is around them, under one hand. */
 export class Fleet {
 	readonly configuration = new FakeConfiguration();
@@ -362,12 +309,15 @@
 
 	#startHost(at: number): void {
 		this.#incarnations++;
-		const host = createHost(
-			`host-${at}`,
-			this.#incarnations,
-			this,
-			this.#options,
-		);
+		const created = createFakeHost(`host-${at}`, this.#incarnations, {
+			...this.#options,
+			configuration: this.configuration,
+			listLive: () => this.identities,
+		});
+		created.kernel.on('request-ended', (event) => {
+			this.oracle.addEnd(event.requestId, event.kind);
+		});
+		const host = {...created, inbox: [], isFrozen: false, spent: 0};
 		this.hosts.splice(at, 0, host);
 		this.deliver(host, {type: 'configuration-changed', current: versioned});
 	}
--- a/packages/requests/__tests__/session-recorder.ts
+++ b/packages/requests/__tests__/session-recorder.ts
@@ -1,30 +1,11 @@
 import {
-	createKernel,
 	type Effect,
-	type Kernel,
 	type KernelEvent,
 	type RequestArrived,
 } from '@parsleyvale/kernel';
-import type {EntryHost, Milliseconds} from '@parsleyvale/shared';
-import {createClaims, createRequests} from '../src/index.js';
-import {
-	FakeBudgets,
-	FakeConfiguration,
-	FakeMembership,
-	FakeRouter,
-	createFakeServices,
-	versioned,
-} from './fake-services.js';
-
-const self: EntryHost = {
-	name: 'tpe-a-1',
-	incarnation: 'tpe-a-1.1',
-	region: 'tpe',
-	failureDomain: 'tpe-a',
-	callers: {address: '127.0.0.1', port: 1},
-	peers: {address: '127.0.0.1', port: 2},
-	leaving: false,
-};
+import type {Milliseconds} from '@parsleyvale/shared';
+import {FakeConfiguration, versioned} from './fake-services.js';
+import {createFakeHost} from './fake-host.js';
 
 function formatValue(key: string, value: unknown): string {
 	const isNamed = key === 'server' || key === 'route';
@@ -41,20 +22,16 @@
 /** One entry host whose events and effects are written down. */
 export class SessionRecorder {
 	readonly configuration = new FakeConfiguration();
-	readonly budgets = new FakeBudgets();
-	readonly router = new FakeRouter();
-	readonly kernel: Kernel;
+	readonly host = createFakeHost('tpe-a-1', 1, {
+		configuration: this.configuration,
+		listLive: () => [this.host.identity],
+	});
+
+	readonly budgets = this.host.budgets;
+	readonly router = this.host.router;
+	readonly kernel = this.host.kernel;
 	readonly lines: string[] = [];
 
-	constructor() {
-		const {configuration, budgets, router} = this;
-		const membership = new FakeMembership(() => [self]);
-		this.kernel = createKernel({self, random: () => 0})
-			.use(createFakeServices({configuration, budgets, router, membership}))
-			.use(createClaims())
-			.use(createRequests());
-	}
-
 	get text(): string {
 		return `${this.lines.join('\n')}\n`;
 	}
