--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export type {ChooserName} from './choosers/chooser.js';
+export {
+	RoutingPlugin,
+	createRouting,
+	type RoutingOptions,
+} from './routing-plugin.js';
+export {
+	checkDrain,
+	type DrainShortfall,
+	type DrainVerdict,
+	type RegionLoad,
+} from './check-drain.js';
--- /dev/null
+++ b/packages/routing/src/request-router.ts
@@ -0,0 +1,157 @@
+import {
+	Router,
+	type Budgets,
+	type Choice,
+	type Context,
+	type Ending,
+	type RoutingRequest,
+} from '@parsleyvale/kernel';
+import {ErrorKind, type Route} from '@parsleyvale/shared';
+import {Result} from 'true-myth';
+import {giveBackAll} from './holds.js';
+import type {LinkBytes} from './link-bytes.js';
+import {applyEnding, identifyVerdict} from './outcomes.js';
+import type {Placement} from './placement.js';
+import type {Placer} from './placer.js';
+import {
+	countChoice,
+	countRefusal,
+	emitEjection,
+	emitEnding,
+} from './routing-metrics.js';
+import type {RoutingTable} from './routing-table.js';
+import type {Safeguards} from './safeguards.js';
+import {checkEjection} from './servers/ejection.js';
+import type {Shifts} from './shifts/shifts.js';
+import type {Waiters} from './waiters.js';
+
+export type RequestRouterOptions = {
+	readonly budgets: Budgets;
+	readonly table: RoutingTable;
+	readonly placer: Placer;
+	readonly shifts: Shifts;
+	readonly waiters: Waiters;
+	readonly links: LinkBytes;
+	readonly safeguards: Safeguards;
+};
+
+/** The router: places attempts and learns from how they end. */
+export class RequestRouter extends Router {
+	readonly #options: RequestRouterOptions;
+	readonly #placements = new Map<Choice, Placement>();
+
+	constructor(options: RequestRouterOptions) {
+		super();
+		this.#options = options;
+	}
+
+	/** Attempts that are placed and not yet over. */
+	get running(): number {
+		return this.#placements.size;
+	}
+
+	choose(request: RoutingRequest, context: Context): Result<Choice, ErrorKind> {
+		const pool = this.#options.table.pools.get(request.route.pool);
+		const result =
+			pool === undefined
+				? ErrorKind.NoServer
+				: this.#options.placer.choosePlace({request, pool, context});
+		if (typeof result === 'string') {
+			this.#onRefused(request, result, context);
+			return Result.err(result);
+		}
+
+		this.#onPlaced(result, context);
+		return Result.ok(result.choice);
+	}
+
+	start(choice: Choice, context: Context): void {
+		const placement = this.#placements.get(choice);
+		if (placement !== undefined) {
+			placement.startedAt = context.now;
+		}
+	}
+
+	end(choice: Choice, ending: Ending, context: Context): void {
+		const placement = this.#placements.get(choice);
+		if (placement === undefined) {
+			return;
+		}
+
+		if (this.#options.safeguards.endOnce) {
+			this.#placements.delete(choice);
+		}
+
+		this.#release(placement, ending, context);
+		this.#applyOutcome(placement, ending, context);
+		if (this.#options.waiters.count(placement.pool.pool.name) > 0) {
+			context.raise({type: 'room-changed', pool: placement.pool.pool.name});
+		}
+	}
+
+	takeRetry(route: Route, context: Context): boolean {
+		const pool = this.#options.table.pools.get(route.pool);
+		const isAllowed =
+			!this.#options.safeguards.retryBudget ||
+			(pool?.retryBudget.take() ?? false);
+		context.emit({
+			type: 'count',
+			name: 'routing_retries_total',
+			labels: {pool: route.pool, outcome: isAllowed ? 'allowed' : 'refused'},
+			by: 1,
+		});
+		return isAllowed;
+	}
+
+	#onRefused(request: RoutingRequest, kind: ErrorKind, context: Context): void {
+		if (kind === ErrorKind.NoRoom) {
+			this.#options.waiters.add(request.requestId, {
+				pool: request.route.pool,
+				since: context.now,
+				deadline: request.deadline,
+			});
+		}
+
+		countRefusal(request, kind, context);
+	}
+
+	#onPlaced(placement: Placement, context: Context): void {
+		const {request, pool, region, state, choice} = placement;
+		this.#placements.set(choice, placement);
+		this.#options.waiters.remove(request.requestId);
+		region.onStarted(state, context.now);
+		if (request.avoid.length === 0) {
+			pool.retryBudget.onFirstAttempt();
+		}
+
+		countChoice(placement, context);
+	}
+
+	#release(placement: Placement, ending: Ending, context: Context): void {
+		const {region, state} = placement;
+		region.onEnded(state);
+		giveBackAll(this.#options.budgets, placement.room, context.now);
+		if (!this.#options.safeguards.ratesStay && ending.outcome === 'not-sent') {
+			giveBackAll(this.#options.budgets, placement.rates, context.now);
+		}
+
+		this.#options.links.onEnded(placement.use, ending.bytes);
+	}
+
+	#applyOutcome(placement: Placement, ending: Ending, context: Context): void {
+		const {pool, region, state} = placement;
+		const verdict = identifyVerdict(placement, ending, context.now);
+		applyEnding(placement, ending, verdict, context.now);
+		if (!verdict.isNeutral) {
+			this.#options.shifts.onOutcome(
+				pool.pool.name,
+				region.region,
+				verdict.isFailure,
+				verdict.serviceTime,
+			);
+		}
+
+		emitEjection(placement, checkEjection(region, state, context.now), context);
+		emitEnding(placement, ending, verdict.serviceTime, context);
+	}
+}
