Let the entry hosts of a region hold the shares of its room

Cause: room shares lay with the hosts of all regions, so that each of six hosts held a sixth of every region's slots and had to borrow for its own region. Excluded: servers without room (4 requests at once for 24 slots). Change: the room budget names its region.

--- a/packages/routing/src/rooms.ts
+++ b/packages/routing/src/rooms.ts
@@ -95,7 +95,7 @@
 				total,
 				longestHold: pool.longestDeadline,
 				// Hosts of every region send here when their own has no room.
-				region: undefined,
+				region: region.region,
 			},
 			context,
 		);
