--- a/packages/acceptance/src/demo.ts
+++ b/packages/acceptance/src/demo.ts
@@ -213,7 +213,8 @@
 		const answers = await this.#askMany(second!, requestsPerRound);
 		const served = answers.filter(({status}) => status === 200).length;
 		const lookUp = await this.#fetch(second!, lookUpPath);
-		const isNamed = (await lookUp.text()).includes(`"${first!.place.name}"`);
+		const lookUpText = await lookUp.text();
+		const isNamed = lookUpText.includes(`"${first!.place.name}"`);
 		this.#print(
 			`Killed ${first!.place.name}: ${served} of ${answers.length} served by ${second!.place.name}.`,
 		);
--- a/packages/kernel/src/services/budgets.ts
+++ b/packages/kernel/src/services/budgets.ts
@@ -33,6 +33,11 @@
 
 /** Bounds on sums over all hosts, held in escrow by shares. */
 export abstract class Budgets {
+	/** Whether this host holds a share of its own of the rates. */
+	hasShare(_now: Milliseconds): boolean {
+		return true;
+	}
+
 	/** Defines a budget or changes its size. */
 	abstract define(spec: BudgetSpec, context: Context): void;
 
@@ -57,11 +62,6 @@
 	 */
 	abstract want(budgetId: string, amount: number, context: Context): void;
 
-	/** Whether this host holds a share of its own of the rates. */
-	hasShare(_now: Milliseconds): boolean {
-		return true;
-	}
-
 	/** What could be taken now. */
 	abstract getAvailable(budgetId: string, now: Milliseconds): number;
 }
--- a/packages/requests/__tests__/operations.ts
+++ b/packages/requests/__tests__/operations.ts
@@ -159,7 +159,7 @@
 
 		case 'stop': {
 			const host = fleet.hosts[operation.index % fleet.hosts.length]!;
-			fleet.deliver(host, {type: 'stop-requested'});
+			fleet.deliver(host, {type: 'intake-closed'});
 			break;
 		}
 	}
