--- a/packages/budgets/src/group.ts
+++ b/packages/budgets/src/group.ts
@@ -386,7 +386,7 @@
 		}
 
 		const given = mergeGifts(ledger, entry, receivers);
-		const {to} = (given.find((each) => each.id === held.id)!);
+		const {to} = given.find((each) => each.id === held.id)!;
 		const kept = this.#listSettled(now).map((each) =>
 			each.id === held.id ? {...each, to} : each,
 		);
