Grant loans shorter than a promise by the clock margin

Cause, found by reading: while a change of guarantor is under way, a root right is cut to one promise from the write, and a loan granted just before could end after it on a borrower's slow clock.

--- a/packages/budgets/src/loan-book.ts
+++ b/packages/budgets/src/loan-book.ts
@@ -83,10 +83,10 @@
 	/** How long after the peer's last stamp the loans to it hold. */
 	grantSpan(peer: Peer, rootEnd: Milliseconds): Milliseconds {
 		const {clockMargin} = this.#safeguards;
-		const span = Math.max(
-			0,
-			Math.min(promiseSpan, toEarlySpan(rootEnd - peer.heardAt, clockMargin)),
-		);
+		// Short by the margin also without a near end: a root right that is cut
+		// to one span from now must not end before the loans drawn on it.
+		const longest = Math.min(promiseSpan, rootEnd - peer.heardAt);
+		const span = Math.max(0, toEarlySpan(longest, clockMargin));
 		peer.grantedUntil = Math.max(
 			peer.grantedUntil,
 			peer.heardAt + toLateSpan(span, clockMargin),
