--- a/packages/budgets/src/group.ts
+++ b/packages/budgets/src/group.ts
@@ -1,13 +1,13 @@
 import type {Context} from '@parsleyvale/kernel';
 import type {Milliseconds} from '@parsleyvale/shared';
-import {
-	isSameProcess,
-	mergeEntry,
-	mergeGifts,
-	type Entry,
-	type ProcessId,
-} from './ledger.js';
+import {isSameProcess, type Entry, type ProcessId} from './ledger.js';
 import {LedgerClient, type LedgerWrite} from './ledger-client.js';
+import {
+	LedgerPlanner,
+	type GroupNeighbours,
+	type PlanView,
+	type Seen,
+} from './ledger-planner.js';
 import type {EntryPromise, Handover, Release} from './messages.js';
 import type {Peer} from './peer.js';
 import {RootShare, type HeldEntry} from './root-share.js';
@@ -16,42 +16,13 @@
 import {shareUnits, toEarlySpan, toLateSpan} from './units.js';
 import {Wards} from './wards.js';
 
-/** What a group asks of the host that it is part of. */
-export type GroupNeighbours = {
-	readonly self: ProcessId;
-	findPeer(process: ProcessId): Peer | undefined;
-	/** The peer to be guarantor; null when no peer is live. */
-	chooseGuarantor(
-		current: ProcessId | null,
-		now: Milliseconds,
-	): ProcessId | null;
-	/** Live members of the group that may be given a root share. */
-	listReceivers(now: Milliseconds): ProcessId[];
-	/** Whether lent and used units of all budgets fit into what is kept. */
-	hasRoomIn(kept: readonly HeldEntry[]): boolean;
-	/** For how long slots of an earlier holder rest, at most. */
-	getLongestHold(): Milliseconds;
-	isMember(peerName: string): boolean;
-	isStopping(): boolean;
-};
-
-type Seen = {
-	readonly holder: ProcessId;
-	readonly renewal: number;
-	readonly epoch: number;
-	readonly at: Milliseconds;
-};
-
 /** Root shares of one group of budgets: the ledger, leases and promises. */
 export class Group {
 	readonly root: RootShare;
 	readonly client: LedgerClient;
 	readonly wards: Wards;
-	/** A gift waits until peers return what they borrowed. */
-	isRecalling = false;
 	readonly #safeguards: Safeguards;
 	readonly #neighbours: GroupNeighbours;
-	/** When each entry's renewal was first seen to have its value. */
 	readonly #seen = new Map<string, Seen>();
 	/** Entries that a stopping host handed to this one, not yet recorded. */
 	readonly #adopted = new Map<string, Pick<Entry, 'holder' | 'epoch'>>();
@@ -59,7 +30,8 @@
 	readonly #handedOver = new Set<string>();
 	/** Ends of promises as they were before a write that may change them. */
 	readonly #limited = new Map<string, Milliseconds>();
-	#renewAt = Number.NEGATIVE_INFINITY;
+	readonly #planner: LedgerPlanner;
+	readonly #view: PlanView;
 	readonly #renewalJitter: number;
 
 	constructor(
@@ -72,6 +44,16 @@
 		this.#neighbours = neighbours;
 		this.root = new RootShare(safeguards);
 		this.wards = new Wards(name, safeguards);
+		this.#view = {
+			root: this.root,
+			wards: this.wards,
+			seen: this.#seen,
+			adopted: this.#adopted,
+			handedOver: this.#handedOver,
+			renewAt: Number.NEGATIVE_INFINITY,
+			isRecalling: false,
+		};
+		this.#planner = new LedgerPlanner(this.#view, neighbours, safeguards);
 		this.#renewalJitter = random();
 		this.client = new LedgerClient(
 			`budgets/${name}`,
@@ -82,6 +64,11 @@
 		);
 	}
 
+	/** Whether a gift waits until peers return what they borrowed. */
+	get isRecalling(): boolean {
+		return this.#view.isRecalling;
+	}
+
 	/** Entries that a write on its way takes from others. */
 	get claimed(): ReadonlySet<string> {
 		const claimed = new Set<string>();
@@ -103,8 +90,8 @@
 		}
 
 		const write = this.client.isMissing
-			? this.#planCreation(context.now)
-			: this.#planUpdate(context.now);
+			? this.#planner.planCreation(context.now)
+			: this.#planner.planUpdate(this.client.ledger, context.now);
 		if (write === undefined) {
 			return;
 		}
@@ -264,175 +251,6 @@
 		return isSameProcess(entry.holder, holder);
 	}
 
-	#planCreation(now: Milliseconds): LedgerWrite {
-		const entry: Entry = {
-			id: `${this.#self.name}/${this.#self.incarnation}`,
-			from: 0,
-			to: shareUnits,
-			holder: this.#self,
-			guarantor: null,
-			epoch: 1,
-			renewal: 1,
-		};
-		return {expectedVersion: 0, entries: [entry], sentAt: now, mark: entry};
-	}
-
-	/** All that this host has to change, in one write; undefined: nothing. */
-	#planUpdate(now: Milliseconds): LedgerWrite | undefined {
-		const {ledger} = this.client;
-		const due = this.#listDue(now);
-		let isNeeded = now >= this.#renewAt;
-		let mark: Entry | undefined;
-		let {entries} = ledger;
-		for (const entry of ledger.entries) {
-			const next = this.#planEntry(entry, due, now);
-			if (next === undefined) {
-				continue;
-			}
-
-			isNeeded ||=
-				next.epoch !== entry.epoch ||
-				this.root.findEntry(entry.id) === undefined;
-			entries = mergeEntry(entries, next);
-			mark ??= next;
-		}
-
-		if (mark === undefined) {
-			return undefined;
-		}
-
-		const given = this.#planGifts({version: ledger.version, entries}, now);
-		if (!isNeeded && given === undefined) {
-			return undefined;
-		}
-
-		return {
-			expectedVersion: ledger.version,
-			entries: given ?? entries,
-			sentAt: now,
-			mark: given?.find((entry) => entry.id === mark.id) ?? mark,
-		};
-	}
-
-	/** Entries of others that may be taken over. */
-	#listDue(now: Milliseconds): Set<string> {
-		const due = new Set<string>();
-		if (this.#neighbours.isStopping()) {
-			return due;
-		}
-
-		for (const id of this.wards.listDue(this.#neighbours.findPeer, now)) {
-			due.add(id);
-		}
-
-		const span = toLateSpan(hardLease, this.#safeguards.clockMargin);
-		for (const [id, seen] of this.#seen) {
-			if (now > seen.at + span) {
-				due.add(id);
-			}
-		}
-
-		return due;
-	}
-
-	/** The entry renewed or taken over; undefined when it is not this host's. */
-	#planEntry(
-		entry: Entry,
-		due: ReadonlySet<string>,
-		now: Milliseconds,
-	): Entry | undefined {
-		const isAdopted = this.#adopted.has(entry.id);
-		const isMine = isSameProcess(entry.holder, this.#self);
-		if (this.#handedOver.has(entry.id)) {
-			return undefined;
-		}
-
-		if (!isMine && !isAdopted && !due.has(entry.id)) {
-			return undefined;
-		}
-
-		const {guarantor: current} = entry;
-		const guarantor = this.#neighbours.chooseGuarantor(current, now);
-		const isChanged = !isMine || !isSameProcess(guarantor, current);
-		return {
-			...entry,
-			holder: this.#self,
-			guarantor,
-			epoch: entry.epoch + (isChanged ? 1 : 0),
-			renewal: entry.renewal + 1,
-		};
-	}
-
-	/** The entries with a part of this host's own given to those without. */
-	#planGifts(
-		ledger: {readonly version: number; readonly entries: readonly Entry[]},
-		now: Milliseconds,
-	): Entry[] | undefined {
-		this.isRecalling = false;
-		const receivers = this.#neighbours
-			.listReceivers(now)
-			.filter(
-				(process) =>
-					!ledger.entries.some((entry) => isSameProcess(entry.holder, process)),
-			);
-		const held = this.#findWidest(now);
-		const entry = ledger.entries.find((each) => each.id === held?.id);
-		const isDonor =
-			receivers.length > 0 &&
-			!this.#neighbours.isStopping() &&
-			this.#isWidest();
-		if (held === undefined || entry === undefined || !isDonor) {
-			return undefined;
-		}
-
-		const given = mergeGifts(ledger, entry, receivers);
-		const {to} = given.find((each) => each.id === held.id)!;
-		const kept = this.#listSettled(now).map((each) =>
-			each.id === held.id ? {...each, to} : each,
-		);
-		if (this.#safeguards.checkGift && !this.#neighbours.hasRoomIn(kept)) {
-			this.isRecalling = true;
-			return undefined;
-		}
-
-		return given;
-	}
-
-	/** Held entries without slots that an earlier holder may still use. */
-	#listSettled(now: Milliseconds): HeldEntry[] {
-		const rest = toLateSpan(
-			this.#neighbours.getLongestHold(),
-			this.#safeguards.clockMargin,
-		);
-		return this.root
-			.listEntries()
-			.filter(
-				(held) =>
-					held.takenOverAt === undefined || now > held.takenOverAt + rest,
-			);
-	}
-
-	#findWidest(now: Milliseconds): HeldEntry | undefined {
-		return this.#listSettled(now).sort(
-			(left, right) => right.to - right.from - left.to + left.from,
-		)[0];
-	}
-
-	/** Whether no other process holds more than this one. */
-	#isWidest(): boolean {
-		const widths = new Map<string, number>();
-		for (const entry of this.client.ledger.entries) {
-			const key = `${entry.holder.name}/${entry.holder.incarnation}`;
-			widths.set(key, (widths.get(key) ?? 0) + entry.to - entry.from);
-		}
-
-		const own = `${this.#self.name}/${this.#self.incarnation}`;
-		const widest = [...widths].sort(
-			(left, right) => right[1] - left[1] || left[0].localeCompare(right[0]),
-		);
-		return widest[0]?.[0] === own;
-	}
-
 	#onWriteEnded(
 		write: LedgerWrite,
 		isApplied: boolean,
@@ -440,7 +258,7 @@
 	): void {
 		this.#clearLimits(isApplied, now);
 		if (isApplied) {
-			this.#renewAt =
+			this.#view.renewAt =
 				write.sentAt + renewalPeriod * (0.75 + 0.25 * this.#renewalJitter);
 		}
 
