--- a/packages/bench/src/routing-fleet.ts
+++ b/packages/bench/src/routing-fleet.ts
@@ -25,6 +25,7 @@
 	createFleetConfiguration,
 	faultAt,
 	listLateServers,
+	listShifts,
 	type FleetSize,
 	type ScenarioName,
 } from './routing-scenarios.js';
@@ -50,6 +51,10 @@
 	readonly results: Results;
 	/** The highest of the servers' peak loads against their slots. */
 	readonly peak: number;
+	/** When shifts moved a request. */
+	readonly movedAt: readonly Milliseconds[];
+	/** When a host's shift paused itself. */
+	readonly pausedAt: readonly Milliseconds[];
 };
 
 /** Runs ten hosts with the real plug-in against fake servers. */
@@ -67,12 +72,18 @@
 	readonly #kernels: Kernel[];
 	readonly #hosts: EntryHost[];
 	readonly #full: Configuration;
+	readonly #movedAt: Milliseconds[] = [];
+	readonly #pausedAt: Milliseconds[] = [];
 	#requests = 0;
 
 	constructor(options: FleetOptions) {
 		this.#options = options;
 		this.#random = createRandom(options.seed);
-		this.#full = createFleetConfiguration(options.size);
+		this.#full = createFleetConfiguration(
+			options.size,
+			[],
+			listShifts(options.size, options.scenario),
+		);
 		for (const server of this.#full.pools[0]!.servers) {
 			this.#servers.set(server.name, this.#createServer(server));
 		}
@@ -99,7 +110,12 @@
 		const peaks = [...this.#servers.values()].map(
 			(fake) => fake.peakLoad / fake.server.slots,
 		);
-		return {results: this.#results, peak: Math.max(...peaks)};
+		return {
+			results: this.#results,
+			peak: Math.max(...peaks),
+			movedAt: this.#movedAt,
+			pausedAt: this.#pausedAt,
+		};
 	}
 
 	#createServer(server: Server): FakeServer {
@@ -137,7 +153,15 @@
 	}
 
 	#handle(kernel: Kernel, event: KernelEvent): void {
-		kernel.handle(event, this.#clock.now);
+		for (const effect of kernel.handle(event, this.#clock.now)) {
+			if (effect.type === 'count' && effect.labels.outcome === 'shifted') {
+				this.#movedAt.push(this.#clock.now);
+			}
+
+			if (effect.type === 'count' && effect.labels.outcome === 'paused') {
+				this.#pausedAt.push(this.#clock.now);
+			}
+		}
 	}
 
 	#applyConfiguration(configuration: Configuration, version: number): void {
--- a/packages/bench/src/routing-scenarios.ts
+++ b/packages/bench/src/routing-scenarios.ts
@@ -4,6 +4,7 @@
 	type Configuration,
 	type Milliseconds,
 	type Server,
+	type Shift,
 } from '@parsleyvale/shared';
 import type {ServerBehaviour} from './routing-fake-server.js';
 
@@ -45,7 +46,13 @@
 };
 
 export type ScenarioName =
-	'calm' | 'lag' | 'lies' | 'one slow' | 'cold start' | 'dead domain';
+	| 'calm'
+	| 'lag'
+	| 'lies'
+	| 'one slow'
+	| 'cold start'
+	| 'dead domain'
+	| 'cold shift';
 
 export const scenarioNames: readonly ScenarioName[] = [
 	'calm',
@@ -56,12 +63,21 @@
 	'dead domain',
 ];
 
+/** The shift of the scenario with a cold target. */
+export const shiftCap = {perSecond: 150, burst: 20};
+const shiftRamp: Milliseconds = 4 * second;
+const shiftShare = 0.5;
+/** The target of the shift is cold for a while after this time. */
+const coldShiftAt: Milliseconds = 5 * second;
+const coldShiftTime: Milliseconds = 3 * second;
+
 const serversPerDomain = 4;
 /** When the fault of a scenario begins. */
 export const faultAt: Milliseconds = 2 * second;
 const reportLag: Milliseconds = second;
 const slowness = 10;
 const coldSlowness = 5;
+const coldShiftSlowness = 3;
 const coldTime: Milliseconds = 5 * second;
 const deadline: Milliseconds = second;
 
@@ -69,6 +85,7 @@
 export function createFleetConfiguration(
 	size: FleetSize,
 	without: readonly string[] = [],
+	shifts: readonly Shift[] = [],
 ): Configuration {
 	return configurationSchema.parse({
 		regions: size.regions.map((name) => ({
@@ -93,6 +110,7 @@
 				),
 			},
 		],
+		shifts,
 		routes: [
 			{
 				name: 'look-up',
@@ -107,6 +125,25 @@
 	});
 }
 
+/** The shifts that begin when the fault of the scenario does. */
+export function listShifts(size: FleetSize, scenario: ScenarioName): Shift[] {
+	return scenario === 'cold shift'
+		? [
+				{
+					name: 'move',
+					pool: size.pool,
+					from: size.regions[0]!,
+					to: size.regions[1]!,
+					share: shiftShare,
+					capPerSecond: shiftCap.perSecond,
+					capBurst: shiftCap.burst,
+					rampMs: shiftRamp,
+					state: 'running',
+				},
+			]
+		: [];
+}
+
 /** Servers that join only when the fault of the scenario begins. */
 export function listLateServers(
 	size: FleetSize,
@@ -135,6 +172,14 @@
 				return server.name === slowName && now >= faultAt ? slowness : 1;
 			}
 
+			if (scenario === 'cold shift') {
+				const isCold =
+					server.region === size.regions[1] &&
+					now >= coldShiftAt &&
+					now < coldShiftAt + coldShiftTime;
+				return isCold ? coldShiftSlowness : 1;
+			}
+
 			return listLateServers(size, scenario).includes(server.name)
 				? computeColdSlowness(now - faultAt)
 				: 1;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,3 +10,4 @@
 	type DrainVerdict,
 	type RegionLoad,
 } from './check-drain.js';
+export type {RoomHolders} from './rooms.js';
--- a/packages/routing/src/rooms.ts
+++ b/packages/routing/src/rooms.ts
@@ -6,6 +6,13 @@
 /** Part of a share that only requests of the region itself may fill. */
 const reservedPart = 0.2;
 
+/**
+ * Whose shares the room of a region is: those of all entry hosts, so that the
+ * region stays of use when its own entry hosts fail, or those of its own, so
+ * that shares are larger and others borrow.
+ */
+export type RoomHolders = 'fleet' | 'region';
+
 /** This host among the live ones, in the order of their names. */
 export type HostRank = {readonly index: number; readonly count: number};
 
@@ -16,10 +23,12 @@
  */
 export class Rooms {
 	readonly #budgets: Budgets;
+	readonly #holders: RoomHolders;
 	readonly #defined = new Map<string, number>();
 
-	constructor(budgets: Budgets) {
+	constructor(budgets: Budgets, holders: RoomHolders) {
 		this.#budgets = budgets;
+		this.#holders = holders;
 	}
 
 	/** Defines the budgets whose totals have changed. */
@@ -94,8 +103,7 @@
 				id,
 				total,
 				longestHold: pool.longestDeadline,
-				// Hosts of every region send here when their own has no room.
-				region: undefined,
+				region: this.#holders === 'region' ? region.region : undefined,
 			},
 			context,
 		);
--- a/packages/routing/src/routing-plugin.ts
+++ b/packages/routing/src/routing-plugin.ts
@@ -14,7 +14,7 @@
 import {LinkBytes} from './link-bytes.js';
 import {Placer} from './placer.js';
 import {RequestRouter} from './request-router.js';
-import {Rooms} from './rooms.js';
+import {Rooms, type RoomHolders} from './rooms.js';
 import {RoutingTable} from './routing-table.js';
 import {allSafeguards, type Safeguards} from './safeguards.js';
 import {Shifts} from './shifts/shifts.js';
@@ -23,6 +23,8 @@
 export type RoutingOptions = {
 	/** Way to choose a backend server within a region. */
 	readonly chooser?: ChooserName;
+	/** Whose shares the room of a region is; every host must have the same. */
+	readonly roomHolders?: RoomHolders;
 	/** @internal */
 	readonly safeguards?: Partial<Safeguards>;
 };
@@ -120,7 +122,7 @@
 			neighbourCount: 1,
 		},
 	});
-	const rooms = new Rooms(budgets);
+	const rooms = new Rooms(budgets, options.roomHolders ?? 'fleet');
 	const shifts = new Shifts();
 	const waiters = new Waiters();
 	const shared = {
--- a/packages/routing/src/shifts/shift-pacer.ts
+++ b/packages/routing/src/shifts/shift-pacer.ts
@@ -1,7 +1,7 @@
 import {second, type Milliseconds, type Shift} from '@parsleyvale/shared';
 
 /** Fewer outcomes than this say nothing. */
-const samplesToJudge = 10;
+const samplesToJudge = 20;
 /** Part of the requests that may fail beyond the baseline. */
 const toleratedFailures = 0.05;
 const toleratedSlowdown = 1.5;
