--- a/packages/bench/src/routing-fake-requests.ts
+++ b/packages/bench/src/routing-fake-requests.ts
@@ -93,11 +93,11 @@
 			attempt: 0,
 		};
 		this.#requests.set(request.requestId, request);
-		this.#place(request, context);
+		this.#choosePlace(request, context);
 	}
 
 	/** Returns whether the request no longer waits. */
-	#place(request: Request, context: Context): boolean {
+	#choosePlace(request: Request, context: Context): boolean {
 		const result = this.#router!.choose(
 			{
 				requestId: request.requestId,
@@ -155,7 +155,7 @@
 			context.now < request.deadline &&
 			this.#router!.takeRetry(this.#route, context);
 		if (canRetry) {
-			this.#place(request, context);
+			this.#choosePlace(request, context);
 			return;
 		}
 
@@ -165,7 +165,7 @@
 
 	#retryWaiting(context: Context): void {
 		for (const request of this.#waiting) {
-			if (!this.#place(request, context)) {
+			if (!this.#choosePlace(request, context)) {
 				return;
 			}
 		}
--- a/packages/bench/src/routing-virtual-clock.ts
+++ b/packages/bench/src/routing-virtual-clock.ts
@@ -54,7 +54,7 @@
 				return;
 			}
 
-			this.#swap(index, parent);
+			this.#applySwap(index, parent);
 			index = parent;
 		}
 	}
@@ -73,7 +73,7 @@
 				return;
 			}
 
-			this.#swap(index, first);
+			this.#applySwap(index, first);
 			index = first;
 		}
 	}
@@ -86,7 +86,7 @@
 		);
 	}
 
-	#swap(one: number, other: number): void {
+	#applySwap(one: number, other: number): void {
 		const kept = this.#heap[one]!;
 		this.#heap[one] = this.#heap[other]!;
 		this.#heap[other] = kept;
--- a/packages/routing/__tests__/ejection.test.ts
+++ b/packages/routing/__tests__/ejection.test.ts
@@ -14,7 +14,7 @@
 	return host.choose(route, {avoid}).unwrapOr(undefined);
 }
 
-function failServer(host: RoutingHost, name: string, times: number): void {
+function runFailures(host: RoutingHost, name: string, times: number): void {
 	for (let count = 0; count < times; count++) {
 		host.end(chooseServer(host, name)!, {outcome: 'unknown'});
 	}
@@ -29,7 +29,7 @@
 describe('ejection', () => {
 	it('gives a server one request at a time after a failure', () => {
 		const host = createHost();
-		failServer(host, 'tpe-a-0', 1);
+		runFailures(host, 'tpe-a-0', 1);
 		const only = chooseServer(host, 'tpe-a-0')!;
 		expect(chooseServer(host, 'tpe-a-0')).toEqual(undefined);
 		host.end(only);
@@ -39,10 +39,10 @@
 
 	it('ejects after three failures and tries again by one request', () => {
 		const host = createHost();
-		failServer(host, 'tpe-a-0', 3);
+		runFailures(host, 'tpe-a-0', 3);
 		expect(chooseServer(host, 'tpe-a-0')).toEqual(undefined);
 		host.now = 1000;
-		failServer(host, 'tpe-a-0', 1);
+		runFailures(host, 'tpe-a-0', 1);
 		host.now = 2999;
 		expect(chooseServer(host, 'tpe-a-0')).toEqual(undefined);
 		host.now = 3000;
@@ -51,7 +51,7 @@
 
 	it('takes a recovered server back along the ramp', () => {
 		const host = createHost();
-		failServer(host, 'tpe-a-0', 3);
+		runFailures(host, 'tpe-a-0', 3);
 		host.now = 1000;
 		host.end(chooseServer(host, 'tpe-a-0')!);
 		host.end(chooseServer(host, 'tpe-a-0')!);
@@ -61,9 +61,9 @@
 
 	it('ejects no more than half of a region and then doubts itself', () => {
 		const host = createHost();
-		failServer(host, 'tpe-a-0', 3);
-		failServer(host, 'tpe-a-1', 3);
-		failServer(host, 'tpe-b-0', 3);
+		runFailures(host, 'tpe-a-0', 3);
+		runFailures(host, 'tpe-a-1', 3);
+		runFailures(host, 'tpe-b-0', 3);
 		expect(
 			['tpe-a-0', 'tpe-a-1', 'tpe-b-0'].map(
 				(name) => chooseServer(host, name)?.server.name,
@@ -95,8 +95,8 @@
 
 	it('uses only the trusted part of its share', () => {
 		const host = createHost();
-		failServer(host, 'tpe-a-0', 3);
-		failServer(host, 'tpe-a-1', 3);
+		runFailures(host, 'tpe-a-0', 3);
+		runFailures(host, 'tpe-a-1', 3);
 		const avoid = all.filter((name) => !name.startsWith('tpe'));
 		const placed = Array.from({length: 8}, () => host.choose(route, {avoid}));
 		expect(placed.filter((result) => result.isOk).length).toEqual(4);
--- a/packages/routing/__tests__/request-router.test.ts
+++ b/packages/routing/__tests__/request-router.test.ts
@@ -54,7 +54,7 @@
 	it('waits at home while that costs less than the way on', () => {
 		const host = new RoutingHost();
 		host.applyConfiguration(configuration);
-		fillHome(host, 10);
+		takeHome(host, 10);
 		const waiting = host.choose(route, {requestId: 'patient'});
 		expect(waiting.isErr && waiting.error).toEqual(ErrorKind.NoRoom);
 		// The way to the next region and back takes 24 ms.
@@ -66,7 +66,7 @@
 	it('goes on at once when waiting would cost more than the way', () => {
 		const host = new RoutingHost();
 		host.applyConfiguration(configuration);
-		fillHome(host, 400);
+		takeHome(host, 400);
 		const moved = host.choose(route);
 		expect(moved.unwrapOr(undefined)?.server.region).toEqual('fra');
 	});
@@ -74,7 +74,7 @@
 	it('raises room-changed for those who wait when a request ends', () => {
 		const host = new RoutingHost();
 		host.applyConfiguration(configuration);
-		const placed = fillHome(host, 10);
+		const placed = takeHome(host, 10);
 		host.end(placed[0]!);
 		expect(host.raised).toEqual([]);
 		host.choose(route);
@@ -132,7 +132,7 @@
 	it('places nothing in a region whose link has no bytes left', () => {
 		const host = new RoutingHost();
 		host.applyConfiguration(configuration);
-		fillHome(host, 400);
+		takeHome(host, 400);
 		for (const id of ['link/tpe/fra', 'link/tpe/sin']) {
 			host.budgets.take(id, host.budgets.getAvailable(id, 0) - 100, 0);
 		}
@@ -145,7 +145,7 @@
 	it('spreads the bytes of a large body over the requests after it', () => {
 		const host = new RoutingHost();
 		host.applyConfiguration(configuration);
-		fillHome(host, 400);
+		takeHome(host, 400);
 		const sizes = [600_000, 0, 0, 0].map((bodyBytes) => {
 			const choice = host.choose(route, {bodyBytes}).unwrapOr(undefined);
 			return choice?.held[1]?.amount;
@@ -155,7 +155,7 @@
 });
 
 /** Fills the home region after one answer that took so long. */
-function fillHome(host: RoutingHost, latency: number): Choice[] {
+function takeHome(host: RoutingHost, latency: number): Choice[] {
 	host.end(host.choose(route).unwrapOr(undefined)!, {latency});
 	return Array.from({length: 8}, () => host.choose(route).unwrapOr(undefined)!);
 }
--- a/packages/routing/__tests__/shift-pacer.test.ts
+++ b/packages/routing/__tests__/shift-pacer.test.ts
@@ -24,7 +24,7 @@
 	});
 }
 
-function showOutcomes(
+function addOutcomes(
 	pacer: ShiftPacer,
 	count: number,
 	failures: number,
@@ -45,7 +45,7 @@
 
 	it('pauses when the target fails and goes on from half of the ramp', () => {
 		const pacer = createPacer();
-		showOutcomes(pacer, 20, 2, 20);
+		addOutcomes(pacer, 20, 2, 20);
 		expect(pacer.updatePace(10_000)).toEqual('paused');
 		expect(pacer.getShare(12_000)).toEqual(0);
 		expect(pacer.updatePace(19_999)).toEqual(undefined);
@@ -55,16 +55,16 @@
 
 	it('pauses when the target slows down', () => {
 		const pacer = createPacer();
-		showOutcomes(pacer, 20, 0, 36);
+		addOutcomes(pacer, 20, 0, 36);
 		expect(pacer.updatePace(10_000)).toEqual('paused');
 	});
 
 	it('bears what lies within the tolerance, and few samples', () => {
 		const pacer = createPacer();
-		showOutcomes(pacer, 19, 19, 500);
+		addOutcomes(pacer, 19, 19, 500);
 		expect(pacer.updatePace(1000)).toEqual(undefined);
 		const steady = createPacer();
-		showOutcomes(steady, 20, 1, 34);
+		addOutcomes(steady, 20, 1, 34);
 		expect(steady.updatePace(1000)).toEqual(undefined);
 	});
 
--- a/packages/routing/__tests__/support/fleet-steps.ts
+++ b/packages/routing/__tests__/support/fleet-steps.ts
@@ -3,7 +3,7 @@
 import type {Configuration, Drain, Shift} from '@parsleyvale/shared';
 import {createTestConfiguration} from './test-configuration.js';
 
-export const hostCount = 3;
+export const hostCount = 4;
 export const shiftCap = {perSecond: 4, burst: 3};
 
 const shift: Shift = {
@@ -50,8 +50,9 @@
 	{weight: 4, arbitrary: fc.constant<AttemptOutcome>('answered')},
 	{weight: 3, arbitrary: fc.constant<AttemptOutcome>('unknown')},
 	{
-		weight: 1,
+		weight: 2,
 		arbitrary: fc.constantFrom<AttemptOutcome>(
+			'not-sent',
 			'not-sent',
 			'refused',
 			'cut',
--- a/packages/routing/__tests__/support/fleet.ts
+++ b/packages/routing/__tests__/support/fleet.ts
@@ -8,6 +8,7 @@
 import {RoutingHost} from './routing-host.js';
 
 const regions = ['tpe', 'sin', 'fra'];
+const hostRegions = ['tpe', 'tpe', 'tpe', 'sin'];
 
 /** A few entry hosts with the real plug-in, and the oracle beside them. */
 export class Fleet {
@@ -26,7 +27,8 @@
 					safeguards,
 					random,
 					budgets: this.#budgets,
-					name: `tpe-a-host-${index}`,
+					name: `host-${index}`,
+					region: hostRegions[index]!,
 				}),
 		);
 		this.#configure(0);
@@ -89,7 +91,7 @@
 				return;
 			}
 
-			increment(this.#oracle.retries, index);
+			addOne(this.#oracle.retries, index);
 			this.problems.push(...this.#oracle.checkRetries(index));
 		}
 
@@ -99,7 +101,7 @@
 		}
 
 		if (!isRetry) {
-			increment(this.#oracle.firstAttempts, index);
+			addOne(this.#oracle.firstAttempts, index);
 		}
 
 		const seen: SeenChoice = {
@@ -171,7 +173,7 @@
 	}
 }
 
-function increment(counts: Map<number, number>, key: number): void {
+function addOne(counts: Map<number, number>, key: number): void {
 	counts.set(key, (counts.get(key) ?? 0) + 1);
 }
 
--- a/packages/routing/__tests__/support/routing-host.ts
+++ b/packages/routing/__tests__/support/routing-host.ts
@@ -32,7 +32,7 @@
 	reportedLoad: undefined,
 };
 
-/** One entry host of tpe with the real plug-in over counting budgets. */
+/** One entry host, usually of tpe, with the real plug-in over counting budgets. */
 export class RoutingHost {
 	readonly budgets: CountingBudgets;
 	readonly kernel: Kernel;
@@ -49,16 +49,18 @@
 			readonly random?: () => number;
 			readonly budgets?: CountingBudgets;
 			readonly name?: string;
+			readonly region?: string;
 		} = {},
 	) {
 		this.budgets = options.budgets ?? new CountingBudgets();
+		const region = options.region ?? 'tpe';
 		this.plugin = createRouting(options);
 		this.kernel = createKernel({
 			self: {
 				name: options.name ?? 'tpe-a-host',
 				incarnation: '1',
-				region: 'tpe',
-				failureDomain: 'tpe-a',
+				region,
+				failureDomain: `${region}-a`,
 				callers: {address: '127.0.0.1', port: 1},
 				peers: {address: '127.0.0.1', port: 2},
 				leaving: false,
--- a/packages/routing/src/placer.ts
+++ b/packages/routing/src/placer.ts
@@ -67,12 +67,12 @@
 		}
 
 		return (
-			this.#placeByShift(attempt, ways, home) ??
-			this.#placeNearest(attempt, ways, home)
+			this.#chooseByShift(attempt, ways, home) ??
+			this.#chooseNearest(attempt, ways, home)
 		);
 	}
 
-	#placeByShift(
+	#chooseByShift(
 		attempt: Attempt,
 		ways: readonly RegionWay[],
 		home: RegionWay,
@@ -88,11 +88,11 @@
 			return undefined;
 		}
 
-		const placed = this.#placeElsewhere(attempt, way, shift);
+		const placed = this.#chooseElsewhere(attempt, way, shift);
 		return typeof placed === 'string' ? undefined : placed;
 	}
 
-	#placeNearest(
+	#chooseNearest(
 		attempt: Attempt,
 		ways: readonly RegionWay[],
 		home: RegionWay,
@@ -105,8 +105,8 @@
 
 			const placed =
 				way === home
-					? this.#placeInRegion(attempt, way, undefined)
-					: this.#placeElsewhere(attempt, way, undefined);
+					? this.#chooseInRegion(attempt, way, undefined)
+					: this.#chooseElsewhere(attempt, way, undefined);
 			if (typeof placed !== 'string') {
 				return placed;
 			}
@@ -124,7 +124,7 @@
 	}
 
 	/** In a region that is not the nearest: its own requests go first. */
-	#placeElsewhere(
+	#chooseElsewhere(
 		attempt: Attempt,
 		way: RegionWay,
 		shift: Shift | undefined,
@@ -132,14 +132,14 @@
 		const {rooms, budgets, safeguards} = this.#options;
 		const {now} = attempt.context;
 		if (!safeguards.reserve || rooms.hasRoomForOthers(way.region, now)) {
-			return this.#placeInRegion(attempt, way, shift);
+			return this.#chooseInRegion(attempt, way, shift);
 		}
 
 		budgets.want(toRoomId(way.region), sharePerWant, attempt.context);
 		return 'busy';
 	}
 
-	#placeInRegion(
+	#chooseInRegion(
 		attempt: Attempt,
 		way: RegionWay,
 		shift: Shift | undefined,
