--- a/packages/requests/src/request-life.ts
+++ b/packages/requests/src/request-life.ts
@@ -175,7 +175,7 @@
 		this.#place.serveAll(context);
 	}
 
-	onStopRequested(): void {
+	onIntakeClosed(): void {
 		this.#isStopping = true;
 	}
 
--- a/packages/requests/src/requests-plugin.ts
+++ b/packages/requests/src/requests-plugin.ts
@@ -69,7 +69,7 @@
 			life.onTick(context);
 		});
 		kernel.on('intake-closed', () => {
-			life.onStopRequested();
+			life.onIntakeClosed();
 		});
 	}
 }
