--- a/packages/configuration/__tests__/peers.test.ts
+++ b/packages/configuration/__tests__/peers.test.ts
@@ -4,11 +4,18 @@
 import {ErrorKind} from '@parsleyvale/shared';
 import {computeDelta, mergeDelta} from '../src/configuration-delta.js';
 import {Fleet} from './fleet.js';
-import {createSample, keyHashes} from './samples.js';
+import {createSample, keyHashes, keyNames} from './samples.js';
 
 const networkSeed = 3;
 const seed = 31;
 
+/** A slow store takes up to 1.8 s for the write. */
+const longestWait = {
+	none: 3000,
+	'one host cut off': 3000,
+	'store slow': 5000,
+};
+
 function createFleet(): Fleet {
 	const fleet = new Fleet(networkSeed);
 	for (const name of ['a', 'b', 'c']) {
@@ -96,4 +103,30 @@
 		);
 		fc.assert(property, {seed});
 	});
+
+	for (const fault of ['none', 'one host cut off', 'store slow'] as const) {
+		it(`acknowledges a withdrawal in seconds of virtual time; fault: ${fault}`, () => {
+			const fleet = createFleet();
+			if (fault === 'one host cut off') {
+				fleet.cutFromStore.add('c');
+				fleet.cut('a', 'c');
+				fleet.cut('b', 'c');
+			} else if (fault === 'store slow') {
+				fleet.store.mode = 'slow';
+			}
+
+			const asked = fleet.schedule.now;
+			fleet.deliver(fleet.getHost(0), {
+				type: 'key-withdrawal-requested',
+				operationId: 'withdrawal',
+				keyName: keyNames[0],
+			});
+			fleet.schedule.advance(10_000);
+			const {answer, at} = fleet.answers.at(-1)!;
+			expect(answer.result.kind).toEqual('accepted');
+			expect(at - asked > 2000 && at - asked <= longestWait[fault]).toEqual(
+				true,
+			);
+		});
+	}
 });
