Give a host that knows no other no right to keys by its own vote

Cause: reading the rule again: a process that read the store before the platform's list came counted itself as a majority of one and accepted keys for ever once cut off. The new test failed before the change and passes now. Conclusion: a fleet of one host refuses keys while the store is down.

--- a/packages/configuration/__tests__/peers.test.ts
+++ b/packages/configuration/__tests__/peers.test.ts
@@ -82,6 +82,24 @@
 		expect(found.isErr && found.error).toEqual(ErrorKind.KeysNotFresh);
 	});
 
+	it('gives a host that knows no other no right by its own vote', () => {
+		const fleet = new Fleet(networkSeed);
+		fleet.isListing = false;
+		fleet.start('a');
+		const [host] = fleet.hosts;
+		fleet.deliver(host!, {
+			type: 'configuration-proposed',
+			operationId: 'first',
+			expectedVersion: 0,
+			configuration: createSample(0),
+		});
+		fleet.schedule.advance(1000);
+		expect(fleet.identify(host!, keyHashes[0]!)).toEqual(true);
+		fleet.cutFromStore.add('a');
+		fleet.schedule.advance(3000);
+		expect(fleet.identify(host!, keyHashes[0]!)).toEqual(false);
+	});
+
 	it('takes the newest from peers in a delta that gives the same whole', () => {
 		const property = fc.property(
 			fc.nat(9),
--- a/packages/configuration/src/key-freshness.ts
+++ b/packages/configuration/src/key-freshness.ts
@@ -73,12 +73,13 @@
 
 	/** The latest moment at which a majority of hosts vouched. */
 	#getMajorityAsOf(): Milliseconds {
-		const own = this.isSynced ? 1 : 0;
-		const needed = this.#roster.majority - own;
-		if (needed === 0) {
-			return Number.POSITIVE_INFINITY;
+		// A host that knows no other may just not have been told of them.
+		if (this.#roster.size === 1) {
+			return never;
 		}
 
+		const own = this.isSynced ? 1 : 0;
+		const needed = this.#roster.majority - own;
 		const moments = [...this.#vouchedAt]
 			.filter(([peer]) => this.#roster.has(peer))
 			.map(([, moment]) => moment)
