--- a/packages/configuration/src/key-withdrawals.ts
+++ b/packages/configuration/src/key-withdrawals.ts
@@ -1,21 +1,18 @@
 import {ErrorKind, type Milliseconds} from '@parsleyvale/shared';
 import type {
 	Context,
-	EffectOf,
 	KeyWithdrawalRequested,
 	PeerIdentity,
 } from '@parsleyvale/kernel';
 import type {LocalConfiguration} from './local-configuration.js';
 import {topics, type Confirm, type Withdraw} from './messages.js';
+import {OperatorAnswers} from './operator-answers.js';
 import type {Rules} from './options.js';
 import type {Roster} from './roster.js';
 import type {StoredWithdrawals} from './stored-withdrawals.js';
 import type {WithdrawalSet} from './withdrawal-set.js';
 
 const repeatInterval: Milliseconds = 300;
-const keptAnswers = 1000;
-
-type Answer = EffectOf<'answer-operator'>;
 
 type Parts = {
 	readonly self: PeerIdentity;
@@ -56,7 +53,7 @@
 export class KeyWithdrawals {
 	readonly #parts: Parts;
 	readonly #pending = new Map<string, Pending>();
-	readonly #answers = new Map<string, Answer>();
+	readonly #answers = new OperatorAnswers();
 	#tokenCount = 0;
 
 	constructor(parts: Parts) {
@@ -78,9 +75,7 @@
 
 	onRequested(event: KeyWithdrawalRequested, context: Context): void {
 		const {operationId, keyName} = event;
-		const known = this.#answers.get(operationId);
-		if (known !== undefined) {
-			context.emit(known);
+		if (this.#answers.answerAgain(operationId, context)) {
 			return;
 		}
 
@@ -219,7 +214,7 @@
 
 	#accept(pending: Pending, context: Context): void {
 		this.#pending.delete(pending.operationId);
-		this.#answer(
+		this.#answers.answer(
 			{
 				type: 'answer-operator',
 				operationId: pending.operationId,
@@ -258,16 +253,6 @@
 		});
 	}
 
-	#answer(answer: Answer, context: Context): void {
-		this.#answers.set(answer.operationId, answer);
-		if (this.#answers.size > keptAnswers) {
-			const [oldest] = this.#answers.keys();
-			this.#answers.delete(oldest!);
-		}
-
-		context.emit(answer);
-	}
-
 	#findHash(keyName: string): string | undefined {
 		const keys = this.#parts.local.current?.configuration.keys ?? [];
 		return keys.find((key) => key.name === keyName)?.hash;
--- a/packages/configuration/src/proposals.ts
+++ b/packages/configuration/src/proposals.ts
@@ -16,6 +16,7 @@
 } from '@parsleyvale/kernel';
 import {checkReferences} from './check-references.js';
 import {toVerdict, type Proposal} from './proposal.js';
+import {OperatorAnswers} from './operator-answers.js';
 import type {Rules} from './options.js';
 import type {VersionsInForce} from './versions-in-force.js';
 
@@ -25,7 +26,6 @@
 const retryInterval: Milliseconds = 500;
 const answerTimeout: Milliseconds = 10_000;
 const staleReadsAllowed = 5;
-const keptAnswers = 1000;
 
 type Answer = EffectOf<'answer-operator'>;
 
@@ -48,7 +48,7 @@
 export class Proposals {
 	readonly #parts: Parts;
 	readonly #pending = new Map<string, Proposal>();
-	readonly #answers = new Map<string, Answer>();
+	readonly #answers = new OperatorAnswers();
 	#callCount = 0;
 
 	constructor(parts: Parts) {
@@ -60,9 +60,7 @@
 	}
 
 	onProposed(event: ConfigurationProposed, context: Context): void {
-		const known = this.#answers.get(event.operationId);
-		if (known !== undefined) {
-			context.emit(known);
+		if (this.#answers.answerAgain(event.operationId, context)) {
 			return;
 		}
 
@@ -263,7 +261,7 @@
 		const {operationId, version} = proposal.value;
 		this.#pending.delete(operationId);
 		this.#parts.onAccepted(version, context);
-		this.#answer(
+		this.#answers.answer(
 			{
 				type: 'answer-operator',
 				operationId,
@@ -311,20 +309,10 @@
 		if (error === ErrorKind.StoreUnavailable) {
 			context.emit(answer);
 		} else {
-			this.#answer(answer, context);
+			this.#answers.answer(answer, context);
 		}
 	}
 
-	#answer(answer: Answer, context: Context): void {
-		this.#answers.set(answer.operationId, answer);
-		if (this.#answers.size > keptAnswers) {
-			const [oldest] = this.#answers.keys();
-			this.#answers.delete(oldest!);
-		}
-
-		context.emit(answer);
-	}
-
 	#findByCall(callId: string): Proposal | undefined {
 		return [...this.#pending.values()].find(
 			(proposal) => proposal.callId === callId,
--- /dev/null
+++ b/packages/membership/src/live-membership.ts
@@ -0,0 +1,33 @@
+import {Membership, type Member} from '@parsleyvale/kernel';
+import type {EntryHost, Milliseconds} from '@parsleyvale/shared';
+import {toMember, type MemberTable} from './member-table.js';
+
+/**
+ * The entry hosts as other plug-ins see them.
+ *
+ * @internal
+ */
+export class LiveMembership extends Membership {
+	readonly #self: EntryHost;
+	readonly #table: MemberTable;
+
+	constructor(self: EntryHost, table: MemberTable) {
+		super();
+		this.#self = self;
+		this.#table = table;
+	}
+
+	listLive(now: Milliseconds): readonly Member[] {
+		const others = this.#table.listLive(now).map((entry) => toMember(entry));
+		return this.#toSorted([{...this.#self, heardAt: now}, ...others]);
+	}
+
+	listKnown(): readonly Member[] {
+		const others = [...this.#table.entries].map((entry) => toMember(entry));
+		return this.#toSorted([{...this.#self, heardAt: undefined}, ...others]);
+	}
+
+	#toSorted(members: Member[]): Member[] {
+		return members.sort((a, b) => (a.name < b.name ? -1 : 1));
+	}
+}
--- a/packages/membership/src/membership-plugin.ts
+++ b/packages/membership/src/membership-plugin.ts
@@ -1,6 +1,5 @@
 import type {EntryHost, Milliseconds} from '@parsleyvale/shared';
 import {
-	Membership,
 	Plugin,
 	configurationKey,
 	membershipKey,
@@ -8,14 +7,14 @@
 	type Context,
 	type Kernel,
 	type LookUpArrived,
-	type Member,
 	type PeerMessage,
 } from '@parsleyvale/kernel';
 import {Departure} from './departure.js';
 import {Heartbeats} from './heartbeats.js';
+import {LiveMembership} from './live-membership.js';
 import {LoadWeight} from './load-weight.js';
 import {chooseHosts, type LookUpHost} from './look-up.js';
-import {MemberTable, toMember} from './member-table.js';
+import {MemberTable} from './member-table.js';
 import {heartbeatSchema, topics} from './messages.js';
 import {
 	deadAfter,
@@ -29,31 +28,6 @@
 /** A host that did not run for so long cannot judge the silence of others. */
 const longestUsualPause: Milliseconds = deadAfter / 4;
 
-class LiveMembership extends Membership {
-	readonly #self: EntryHost;
-	readonly #table: MemberTable;
-
-	constructor(self: EntryHost, table: MemberTable) {
-		super();
-		this.#self = self;
-		this.#table = table;
-	}
-
-	listLive(now: Milliseconds): readonly Member[] {
-		const others = this.#table.listLive(now).map((entry) => toMember(entry));
-		return this.#toSorted([{...this.#self, heardAt: now}, ...others]);
-	}
-
-	listKnown(): readonly Member[] {
-		const others = [...this.#table.entries].map((entry) => toMember(entry));
-		return this.#toSorted([{...this.#self, heardAt: undefined}, ...others]);
-	}
-
-	#toSorted(members: Member[]): Member[] {
-		return members.sort((a, b) => (a.name < b.name ? -1 : 1));
-	}
-}
-
 /** Keeps the set of live entry hosts and answers look-ups. */
 export class MembershipPlugin extends Plugin {
 	readonly #options: MembershipOptions;
