Check and digest only the objects that a change touches

Cause: at 826 KB a change took 31 ms to work out and 40 ms to put in force: both went through the whole. Change: the digest of an object is worked out once and shared by versions; a delta's own objects are checked by the schema, the rest came checked.

--- a/packages/configuration/src/configuration-delta.ts
+++ b/packages/configuration/src/configuration-delta.ts
@@ -1,5 +1,4 @@
 import {createHash} from 'node:crypto';
-import {isDeepStrictEqual} from 'node:util';
 import {
 	configurationSchema,
 	type Configuration,
@@ -12,15 +11,39 @@
 	type NamedObject,
 } from './sections.js';
 
+const digests = new WeakMap<NamedObject, string>();
+
+/** Worked out once for each object: versions share those that did not change. */
+function computeObjectDigest(object: NamedObject): string {
+	let digest = digests.get(object);
+	if (digest === undefined) {
+		digest = createHash('sha256')
+			.update(JSON.stringify(object))
+			.digest('base64url');
+		digests.set(object, digest);
+	}
+
+	return digest;
+}
+
 function computeDigest(configuration: Configuration): string {
-	return createHash('sha256')
-		.update(JSON.stringify(configuration))
-		.digest('base64url');
+	const hash = createHash('sha256');
+	for (const name of sectionNames) {
+		hash.update(name);
+		for (const object of configuration[name]) {
+			hash.update(computeObjectDigest(object));
+		}
+	}
+
+	return hash.digest('base64url');
 }
 
 function mergeSection(
 	before: readonly NamedObject[],
-	delta: SectionDelta,
+	delta: {
+		readonly removed: readonly string[];
+		readonly set: readonly NamedObject[];
+	},
 ): NamedObject[] {
 	const merged = new Map(before.map((object) => [object.name, object]));
 	for (const name of delta.removed) {
@@ -34,6 +57,13 @@
 	return [...merged.values()];
 }
 
+function isSame(before: NamedObject | undefined, after: NamedObject): boolean {
+	return (
+		before !== undefined &&
+		computeObjectDigest(before) === computeObjectDigest(after)
+	);
+}
+
 function computeSection(
 	before: readonly NamedObject[],
 	after: readonly NamedObject[],
@@ -44,9 +74,7 @@
 		removed: before
 			.map((object) => object.name)
 			.filter((name) => !names.has(name)),
-		set: after.filter(
-			(object) => !isDeepStrictEqual(old.get(object.name), object),
-		),
+		set: after.filter((object) => !isSame(old.get(object.name), object)),
 	};
 }
 
@@ -93,21 +121,33 @@
 		return undefined;
 	}
 
+	const changed = configurationSchema.safeParse(
+		Object.fromEntries(
+			Object.entries(delta.sections).map(([name, {set}]) => [name, set]),
+		),
+	);
+	if (!changed.success) {
+		return undefined;
+	}
+
 	const merged: Record<string, NamedObject[]> = createEmptyConfiguration();
 	for (const name of sectionNames) {
-		const section = delta.sections[name];
+		const removed = delta.sections[name]?.removed ?? [];
+		const set = changed.data[name];
 		const old = before.configuration[name];
-		merged[name] = section === undefined ? old : mergeSection(old, section);
+		const isChanged = removed.length > 0 || set.length > 0;
+		merged[name] = isChanged ? mergeSection(old, {removed, set}) : old;
 	}
 
-	const parsed = configurationSchema.safeParse(merged);
-	if (!parsed.success || computeDigest(parsed.data) !== delta.digest) {
+	// Each object has been checked, here or when it came into force.
+	const configuration = merged as Configuration;
+	if (computeDigest(configuration) !== delta.digest) {
 		return undefined;
 	}
 
 	return {
 		version: delta.version,
 		operationId: delta.operationId,
-		configuration: parsed.data,
+		configuration,
 	};
 }
