--- a/packages/bench/src/blocks.ts
+++ b/packages/bench/src/blocks.ts
@@ -80,7 +80,7 @@
 	return firstAllocation + random(allocations);
 }
 
-function measure(count: number, run: (index: number) => void): number {
+function runTimed(count: number, run: (index: number) => void): number {
 	const started = performance.now();
 	for (let index = 0; index < count; index++) {
 		run(index);
@@ -131,7 +131,7 @@
 }
 
 /** Builds a table of so many blocks from nothing and measures it. */
-export function measureBlocks(blocks: number): BlocksMeasurement {
+export function runBlocksBenchmark(blocks: number): BlocksMeasurement {
 	const random = createRandom();
 	const table = createClientBlockTable({
 		expectedIpv4Blocks: blocks * partOfIpv4,
@@ -163,12 +163,12 @@
 	const picks = Uint32Array.from({length: probes}, () => random(sample.size));
 	const find = (index: number) => table.findByWords(sample.get(picks[index]!));
 	// The first pass warms the code up.
-	measure(probes, find);
-	const lookUpNanoseconds = measure(probes, find);
+	runTimed(probes, find);
+	const lookUpNanoseconds = runTimed(probes, find);
 	const texts = Array.from({length: textProbes}, (_, index) =>
 		toText(sample.get(picks[index]!)),
 	);
-	const textLookUpNanoseconds = measure(textProbes, (index) =>
+	const textLookUpNanoseconds = runTimed(textProbes, (index) =>
 		table.findByText(texts[index]!),
 	);
 	changed = 0;
--- a/packages/bench/src/capacity-configuration.ts
+++ b/packages/bench/src/capacity-configuration.ts
@@ -53,7 +53,7 @@
 	return {version: 1, operationId: 'first', configuration};
 }
 
-function measure(run: () => unknown): number {
+function runTimed(run: () => unknown): number {
 	run();
 	const started = performance.now();
 	for (let count = 0; count < repeats; count++) {
@@ -64,7 +64,7 @@
 }
 
 /** Changes the rate of one customer. */
-export function measureConfiguration(
+export function runConfigurationBenchmark(
 	customers: number,
 	servers: number,
 ): ConfigurationMeasurement {
@@ -78,7 +78,7 @@
 		servers,
 		wholeBytes: JSON.stringify(after).length,
 		deltaBytes: JSON.stringify(delta).length,
-		computeMilliseconds: measure(() => computeDelta(before, after)),
-		mergeMilliseconds: measure(() => mergeDelta(before, delta)),
+		computeMilliseconds: runTimed(() => computeDelta(before, after)),
+		mergeMilliseconds: runTimed(() => mergeDelta(before, delta)),
 	};
 }
--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
-import {measureBlocks} from './blocks.js';
-import {measureConfiguration} from './capacity-configuration.js';
-import {measureGossip} from './gossip.js';
+import {runBlocksBenchmark} from './blocks.js';
+import {runConfigurationBenchmark} from './capacity-configuration.js';
+import {runGossipBenchmark} from './gossip.js';
 
 const blockCounts = [33_000, 330_000, 3_300_000];
 const daemonCounts = [10, 100, 1000, 2800];
@@ -39,15 +39,15 @@
 
 writeTable(
 	'Client blocks',
-	blockCounts.map((count) => measureBlocks(count)),
+	blockCounts.map((count) => runBlocksBenchmark(count)),
 );
 writeTable(
 	'Heartbeats and news, each daemon',
-	daemonCounts.flatMap((count) => measureGossip(count)),
+	daemonCounts.flatMap((count) => runGossipBenchmark(count)),
 );
 writeTable(
 	'One change of configuration',
 	configurationSizes.map(([customers, servers]) =>
-		measureConfiguration(customers, servers),
+		runConfigurationBenchmark(customers, servers),
 	),
 );
--- a/packages/bench/src/gossip.ts
+++ b/packages/bench/src/gossip.ts
@@ -176,13 +176,13 @@
 		}
 
 		const identity = {name: to, incarnation: `${to}-1`};
-		for (const message of this.#mirror(topic, payload)) {
+		for (const message of this.#createMirrored(topic, payload)) {
 			this.#handle(from, {type: 'peer-message', from: identity, ...message});
 		}
 	}
 
 	/** A host like the sender sends the same, and answers what it is asked. */
-	#mirror(
+	#createMirrored(
 		topic: string,
 		payload: unknown,
 	): Array<{topic: string; payload: unknown}> {
@@ -235,7 +235,7 @@
 }
 
 /** Runs a region of a fleet of so many daemons, with nothing to tell. */
-export function measureGossip(daemons: number): GossipMeasurement[] {
+export function runGossipBenchmark(daemons: number): GossipMeasurement[] {
 	const hosts = Array.from({length: daemons}, (_, index) => createHost(index));
 	const region = new Region(hosts);
 	region.run(warmUp);
--- a/packages/client-blocks/src/block-family.ts
+++ b/packages/client-blocks/src/block-family.ts
@@ -107,7 +107,7 @@
 			return;
 		}
 
-		this.#makeRoom();
+		this.#addRoom();
 		this.#old?.clear(block.words, block.length);
 		this.#store.set(block.words, block.length, site);
 		this.#addLength(block);
@@ -133,7 +133,7 @@
 
 		const end = Math.min(this.#old.capacity, this.#oldSlot + slots);
 		for (; this.#oldSlot < end; this.#oldSlot++) {
-			this.#old.moveSlot(this.#oldSlot, this.#store);
+			this.#old.giveSlot(this.#oldSlot, this.#store);
 		}
 
 		if (this.#oldSlot === this.#old.capacity) {
@@ -153,7 +153,7 @@
 			: site;
 	}
 
-	#makeRoom(): void {
+	#addRoom(): void {
 		this.advance(slotsPerChange);
 		const {capacity} = this.#store;
 		if (this.size < capacity * largestFill) {
--- a/packages/client-blocks/src/block-store.ts
+++ b/packages/client-blocks/src/block-store.ts
@@ -81,7 +81,7 @@
 		while (this.#getLength(slot) !== emptySlot) {
 			const home = this.#getHome(slot);
 			if (this.#getDistance(home, slot) >= this.#getDistance(gap, slot)) {
-				this.#copySlot(slot, gap);
+				this.#setSlot(slot, gap);
 				gap = slot;
 			}
 
@@ -106,7 +106,7 @@
 	}
 
 	/** Moves the block of one slot, if there is one, into another store. */
-	moveSlot(slot: number, other: BlockStore): void {
+	giveSlot(slot: number, other: BlockStore): void {
 		const length = this.#getLength(slot);
 		if (length === emptySlot || length === movedSlot) {
 			return;
@@ -190,7 +190,7 @@
 		return (to - from + this.capacity) % this.capacity;
 	}
 
-	#copySlot(from: number, to: number): void {
+	#setSlot(from: number, to: number): void {
 		const start = from * this.#slotWords;
 		const end = start + this.#slotWords;
 		this.#slots.copyWithin(to * this.#slotWords, start, end);
--- a/packages/configuration/__tests__/fleet.ts
+++ b/packages/configuration/__tests__/fleet.ts
@@ -135,23 +135,23 @@
 		}
 
 		if (host.isAlive) {
-			this.#tellListeners(host);
+			this.#emit(host);
 			const now = host.toLocal(this.schedule.now);
 			for (const effect of host.kernel.handle(event, now)) {
-				this.#perform(host, effect);
+				this.#handleEffect(host, effect);
 			}
 
-			this.#tellListeners(host);
+			this.#emit(host);
 		}
 	}
 
-	#tellListeners(host: FleetHost): void {
+	#emit(host: FleetHost): void {
 		for (const listener of this.listeners) {
 			listener(host);
 		}
 	}
 
-	#perform(host: FleetHost, effect: Effect): void {
+	#handleEffect(host: FleetHost, effect: Effect): void {
 		if (effect.type === 'send-peer') {
 			this.#send(host, effect);
 		} else if (effect.type === 'answer-operator') {
--- a/packages/configuration/__tests__/oracle.ts
+++ b/packages/configuration/__tests__/oracle.ts
@@ -87,12 +87,12 @@
 					`${operationId} was accepted as ${result.version}, of ${stored?.operationId}`,
 				);
 			} else if (result.kind === 'refused') {
-				this.#judgeRefusal(operationId, result.error);
+				this.#checkRefusal(operationId, result.error);
 			}
 		}
 	}
 
-	#judgeRefusal(operationId: string, error: string): void {
+	#checkRefusal(operationId: string, error: string): void {
 		// Both of these say, by the table, that the change may have been applied.
 		const isOpen = error === 'outcome-unknown' || error === 'store-unavailable';
 		if (!isOpen) {
--- a/packages/configuration/__tests__/session.ts
+++ b/packages/configuration/__tests__/session.ts
@@ -143,19 +143,19 @@
 			case 'freeze':
 			case 'restart':
 			case 'heal': {
-				this.#inject(step);
+				this.#startFault(step);
 				break;
 			}
 		}
 	}
 
-	settle(): void {
+	waitUntilSettled(): void {
 		this.fleet.heal();
 		this.fleet.schedule.advance(timeToSettle);
 		this.oracle.checkEnd(keyHashes);
 	}
 
-	#inject(step: Fault): void {
+	#startFault(step: Fault): void {
 		const {fleet} = this;
 		switch (step.kind) {
 			case 'store': {
@@ -241,5 +241,5 @@
 		session.run(step);
 	}
 
-	session.settle();
+	session.waitUntilSettled();
 }
--- a/packages/configuration/src/key-withdrawals.ts
+++ b/packages/configuration/src/key-withdrawals.ts
@@ -132,7 +132,7 @@
 		};
 		this.#pending.set(request.operationId, pending);
 		this.#parts.withdrawals.add(request.hash);
-		this.#parts.stored.hurry(context.now);
+		this.#parts.stored.wantWrite(context.now);
 		this.#sendToPeers(pending, context);
 		context.emit({
 			type: 'log',
@@ -146,7 +146,7 @@
 		this.#checkStored(pending, context);
 		if (!this.#isCovered(pending)) {
 			pending.coveredAt = undefined;
-			this.#repeat(pending, context);
+			this.#sendAgain(pending, context);
 			return;
 		}
 
@@ -156,9 +156,9 @@
 			? rules.acknowledgementDelay
 			: 0;
 		if (context.now - pending.coveredAt >= wait) {
-			this.#accept(pending, context);
+			this.#answerAccepted(pending, context);
 		} else {
-			this.#repeat(pending, context);
+			this.#sendAgain(pending, context);
 		}
 	}
 
@@ -191,9 +191,9 @@
 		);
 	}
 
-	#repeat(pending: Pending, context: Context): void {
+	#sendAgain(pending: Pending, context: Context): void {
 		if (context.now - pending.sentAt >= repeatInterval) {
-			this.#parts.stored.hurry(context.now);
+			this.#parts.stored.wantWrite(context.now);
 			this.#sendToPeers(pending, context);
 		}
 	}
@@ -212,7 +212,7 @@
 		);
 	}
 
-	#accept(pending: Pending, context: Context): void {
+	#answerAccepted(pending: Pending, context: Context): void {
 		this.#pending.delete(pending.operationId);
 		this.#answers.answer(
 			{
--- a/packages/configuration/src/proposals.ts
+++ b/packages/configuration/src/proposals.ts
@@ -96,7 +96,7 @@
 		switch (event.result.kind) {
 			case 'written': {
 				this.#parts.onStored(proposal.value, context);
-				this.#accept(proposal, context);
+				this.#answerAccepted(proposal, context);
 				break;
 			}
 
@@ -137,7 +137,7 @@
 			this.#parts.onStored(found.data, context);
 		}
 
-		this.#decide(proposal, found?.data?.version ?? 0, context);
+		this.#handleVerdict(proposal, found?.data?.version ?? 0, context);
 	}
 
 	onTick(context: Context): void {
@@ -163,18 +163,22 @@
 		if (value.version > versions.version) {
 			this.#write(proposal, context);
 		} else {
-			this.#decide(proposal, versions.version, context);
+			this.#handleVerdict(proposal, versions.version, context);
 		}
 	}
 
-	#decide(proposal: Proposal, readVersion: number, context: Context): void {
+	#handleVerdict(
+		proposal: Proposal,
+		readVersion: number,
+		context: Context,
+	): void {
 		const {versions} = this.#parts;
 		const {value} = proposal;
 		const newest = Math.max(versions.version, readVersion);
 		const operation = versions.findOperation(value.version);
 		switch (toVerdict(proposal, newest, operation)) {
 			case 'accepted': {
-				this.#accept(proposal, context);
+				this.#answerAccepted(proposal, context);
 				break;
 			}
 
@@ -228,11 +232,11 @@
 			return;
 		}
 
-		this.#finish(proposal, ErrorKind.StoreUnavailable, [], context);
+		this.#endRefused(proposal, ErrorKind.StoreUnavailable, [], context);
 	}
 
 	#write(proposal: Proposal, context: Context): void {
-		this.#expectAnswer(proposal, context);
+		this.#beginCall(proposal, context);
 		context.emit({
 			type: 'write-object',
 			operationId: proposal.callId!,
@@ -243,7 +247,7 @@
 	}
 
 	#read(proposal: Proposal, context: Context): void {
-		this.#expectAnswer(proposal, context);
+		this.#beginCall(proposal, context);
 		context.emit({
 			type: 'read-object',
 			operationId: proposal.callId!,
@@ -251,13 +255,13 @@
 		});
 	}
 
-	#expectAnswer(proposal: Proposal, context: Context): void {
+	#beginCall(proposal: Proposal, context: Context): void {
 		const count = this.#callCount++;
 		proposal.callId = `proposal/${this.#parts.incarnation}/${count}`;
 		proposal.retryAt = context.now + answerTimeout;
 	}
 
-	#accept(proposal: Proposal, context: Context): void {
+	#answerAccepted(proposal: Proposal, context: Context): void {
 		const {operationId, version} = proposal.value;
 		this.#pending.delete(operationId);
 		this.#parts.onAccepted(version, context);
@@ -279,10 +283,10 @@
 			field: 'version',
 			message: `The change was made to version ${expected}; the newest is version ${newest}.`,
 		};
-		this.#finish(proposal, error, [problem], context);
+		this.#endRefused(proposal, error, [problem], context);
 	}
 
-	#finish(
+	#endRefused(
 		proposal: Proposal,
 		error: ErrorKind,
 		problems: readonly Problem[],
--- a/packages/configuration/src/stored-withdrawals.ts
+++ b/packages/configuration/src/stored-withdrawals.ts
@@ -53,7 +53,7 @@
 	}
 
 	/** Writes as soon as it can, rather than leave it to another host. */
-	hurry(now: Milliseconds): void {
+	wantWrite(now: Milliseconds): void {
 		this.#writeAt = now;
 	}
 
--- a/packages/membership/__tests__/member-fleet.ts
+++ b/packages/membership/__tests__/member-fleet.ts
@@ -160,12 +160,12 @@
 			});
 		} else if (host.isAlive) {
 			for (const effect of host.kernel.handle(event, this.schedule.now)) {
-				this.#perform(host, effect);
+				this.#handleEffect(host, effect);
 			}
 		}
 	}
 
-	#perform(from: MemberHost, effect: Effect): void {
+	#handleEffect(from: MemberHost, effect: Effect): void {
 		if (effect.type !== 'send-peer') {
 			return;
 		}
--- a/packages/membership/__tests__/membership-fuzz.test.ts
+++ b/packages/membership/__tests__/membership-fuzz.test.ts
@@ -111,7 +111,7 @@
 	}
 
 	/** At rest every host that lives and stays is in every list. */
-	settle(): void {
+	waitUntilSettled(): void {
 		this.#fleet.heal();
 		this.#run(longestFreeze + timeToSettle);
 		const live = this.#fleet.hosts.filter(({isAlive}) => isAlive);
@@ -172,7 +172,7 @@
 				session.run(step);
 			}
 
-			session.settle();
+			session.waitUntilSettled();
 		});
 		fc.assert(property, {seed, numRuns: runs});
 	});
--- a/packages/membership/src/heartbeats.ts
+++ b/packages/membership/src/heartbeats.ts
@@ -78,7 +78,7 @@
 			...table.listLive(context.now).map(({host}) => host.name),
 		]);
 		this.#checkWatched(context.now);
-		this.#tellWeight();
+		this.#addOwnWeight();
 		for (const to of this.#listTargets(context.now)) {
 			this.#send(to, context);
 		}
@@ -122,7 +122,7 @@
 	#onUpdate(update: Update, now: Milliseconds): void {
 		const {self, table} = this.#parts;
 		if (update.name === self.name) {
-			this.#refute(update);
+			this.#addRefutation(update);
 			return;
 		}
 
@@ -174,7 +174,7 @@
 	}
 
 	/** Somebody takes this host for dead: it says that it lives. */
-	#refute(update: Update): void {
+	#addRefutation(update: Update): void {
 		const isOwn = update.incarnation === this.#parts.self.incarnation;
 		if (isOwn && update.status === 'dead' && update.counter >= this.#counter) {
 			this.#counter = update.counter + 1;
@@ -209,7 +209,7 @@
 		return !isReported && now - lastHeard > reportAfter;
 	}
 
-	#tellWeight(): void {
+	#addOwnWeight(): void {
 		const {weight} = this.#parts.load;
 		if (weight !== this.#toldWeight) {
 			this.#toldWeight = weight;
--- a/packages/membership/src/load-weight.ts
+++ b/packages/membership/src/load-weight.ts
@@ -51,11 +51,11 @@
 		this.#adjustedAt = now;
 		const meanOfOthers = getMeanOfOthers();
 		if (meanOfOthers !== undefined) {
-			this.#adjust(meanOfOthers);
+			this.#updateWeight(meanOfOthers);
 		}
 	}
 
-	#adjust(meanOfOthers: number): void {
+	#updateWeight(meanOfOthers: number): void {
 		const ratio = (meanOfOthers + leastLoad) / (this.#load + leastLoad);
 		const weight = this.#weight * ratio ** gain;
 		this.#weight = Math.min(largestWeight, Math.max(smallestWeight, weight));
