--- a/packages/configuration/src/proposals.ts
+++ b/packages/configuration/src/proposals.ts
@@ -16,6 +16,7 @@
 } from '@parsleyvale/kernel';
 import {checkReferences} from './check-references.js';
 import {toVerdict, type Proposal} from './proposal.js';
+import {OperatorAnswers} from './operator-answers.js';
 import type {Rules} from './options.js';
 import type {VersionsInForce} from './versions-in-force.js';
 
@@ -25,7 +26,6 @@
 const retryInterval: Milliseconds = 500;
 const answerTimeout: Milliseconds = 10_000;
 const staleReadsAllowed = 5;
-const keptAnswers = 1000;
 
 type Answer = EffectOf<'answer-operator'>;
 
@@ -48,7 +48,7 @@
 export class Proposals {
 	readonly #parts: Parts;
 	readonly #pending = new Map<string, Proposal>();
-	readonly #answers = new Map<string, Answer>();
+	readonly #answers = new OperatorAnswers();
 	#callCount = 0;
 
 	constructor(parts: Parts) {
@@ -60,9 +60,7 @@
 	}
 
 	onProposed(event: ConfigurationProposed, context: Context): void {
-		const known = this.#answers.get(event.operationId);
-		if (known !== undefined) {
-			context.emit(known);
+		if (this.#answers.answerAgain(event.operationId, context)) {
 			return;
 		}
 
@@ -98,7 +96,7 @@
 		switch (event.result.kind) {
 			case 'written': {
 				this.#parts.onStored(proposal.value, context);
-				this.#accept(proposal, context);
+				this.#answerAccepted(proposal, context);
 				break;
 			}
 
@@ -139,7 +137,7 @@
 			this.#parts.onStored(found.data, context);
 		}
 
-		this.#decide(proposal, found?.data?.version ?? 0, context);
+		this.#handleVerdict(proposal, found?.data?.version ?? 0, context);
 	}
 
 	onTick(context: Context): void {
@@ -165,18 +163,22 @@
 		if (value.version > versions.version) {
 			this.#write(proposal, context);
 		} else {
-			this.#decide(proposal, versions.version, context);
+			this.#handleVerdict(proposal, versions.version, context);
 		}
 	}
 
-	#decide(proposal: Proposal, readVersion: number, context: Context): void {
+	#handleVerdict(
+		proposal: Proposal,
+		readVersion: number,
+		context: Context,
+	): void {
 		const {versions} = this.#parts;
 		const {value} = proposal;
 		const newest = Math.max(versions.version, readVersion);
 		const operation = versions.findOperation(value.version);
 		switch (toVerdict(proposal, newest, operation)) {
 			case 'accepted': {
-				this.#accept(proposal, context);
+				this.#answerAccepted(proposal, context);
 				break;
 			}
 
@@ -230,11 +232,11 @@
 			return;
 		}
 
-		this.#finish(proposal, ErrorKind.StoreUnavailable, [], context);
+		this.#endRefused(proposal, ErrorKind.StoreUnavailable, [], context);
 	}
 
 	#write(proposal: Proposal, context: Context): void {
-		this.#expectAnswer(proposal, context);
+		this.#beginCall(proposal, context);
 		context.emit({
 			type: 'write-object',
 			operationId: proposal.callId!,
@@ -245,7 +247,7 @@
 	}
 
 	#read(proposal: Proposal, context: Context): void {
-		this.#expectAnswer(proposal, context);
+		this.#beginCall(proposal, context);
 		context.emit({
 			type: 'read-object',
 			operationId: proposal.callId!,
@@ -253,17 +255,17 @@
 		});
 	}
 
-	#expectAnswer(proposal: Proposal, context: Context): void {
+	#beginCall(proposal: Proposal, context: Context): void {
 		const count = this.#callCount++;
 		proposal.callId = `proposal/${this.#parts.incarnation}/${count}`;
 		proposal.retryAt = context.now + answerTimeout;
 	}
 
-	#accept(proposal: Proposal, context: Context): void {
+	#answerAccepted(proposal: Proposal, context: Context): void {
 		const {operationId, version} = proposal.value;
 		this.#pending.delete(operationId);
 		this.#parts.onAccepted(version, context);
-		this.#answer(
+		this.#answers.answer(
 			{
 				type: 'answer-operator',
 				operationId,
@@ -281,10 +283,10 @@
 			field: 'version',
 			message: `The change was made to version ${expected}; the newest is version ${newest}.`,
 		};
-		this.#finish(proposal, error, [problem], context);
+		this.#endRefused(proposal, error, [problem], context);
 	}
 
-	#finish(
+	#endRefused(
 		proposal: Proposal,
 		error: ErrorKind,
 		problems: readonly Problem[],
@@ -311,20 +313,10 @@
 		if (error === ErrorKind.StoreUnavailable) {
 			context.emit(answer);
 		} else {
-			this.#answer(answer, context);
+			this.#answers.answer(answer, context);
 		}
 	}
 
-	#answer(answer: Answer, context: Context): void {
-		this.#answers.set(answer.operationId, answer);
-		if (this.#answers.size > keptAnswers) {
-			const [oldest] = this.#answers.keys();
-			this.#answers.delete(oldest!);
-		}
-
-		context.emit(answer);
-	}
-
 	#findByCall(callId: string): Proposal | undefined {
 		return [...this.#pending.values()].find(
 			(proposal) => proposal.callId === callId,
