--- a/packages/budgets/__tests__/commands.ts
+++ b/packages/budgets/__tests__/commands.ts
@@ -25,7 +25,15 @@
 			readonly amount: number;
 	  }
 	| {
-			readonly do: 'kill' | 'restart' | 'freeze' | 'wake' | 'stop';
+			readonly do:
+				| 'kill'
+				| 'restart'
+				| 'freeze'
+				| 'wake'
+				| 'stop'
+				| 'halve'
+				| 'restore'
+				| 'redefine';
 			readonly host: number;
 	  }
 	| {readonly do: 'store'; readonly mode: StoreMode}
@@ -94,6 +102,11 @@
 	isCut: fc.boolean(),
 });
 
+const change = fc.record({
+	do: fc.constantFrom('halve', 'restore', 'redefine'),
+	host,
+});
+
 const sleep = fc.record({
 	do: fc.constant('sleep' as const),
 	span: fc.constantFrom(5000, 20_000, 16 * minute),
@@ -107,6 +120,7 @@
 	{arbitrary: store, weight: 2},
 	{arbitrary: weather, weight: 2},
 	{arbitrary: cut, weight: 2},
+	{arbitrary: change, weight: 2},
 	{arbitrary: sleep, weight: 1},
 );
 
@@ -177,9 +191,27 @@
 	}
 }
 
+function runChange(
+	world: World,
+	action: 'halve' | 'restore' | 'redefine',
+	index: number,
+): void {
+	const each = world.hosts[index]!;
+	if (action === 'redefine') {
+		world.redefine(each);
+	} else {
+		world.resize(each, action === 'halve');
+	}
+}
+
 /** Does one step. */
 export function runCommand(world: World, step: Command): void {
 	const toIndex = (number: number) => number % world.hosts.length;
+	if ('amount' in step) {
+		runUse(world, step.do, toIndex(step.host), step.amount);
+		return;
+	}
+
 	switch (step.do) {
 		case 'run': {
 			world.run(step.span);
@@ -211,6 +243,13 @@
 			break;
 		}
 
+		case 'halve':
+		case 'restore':
+		case 'redefine': {
+			runChange(world, step.do, toIndex(step.host));
+			break;
+		}
+
 		case 'kill':
 		case 'restart':
 		case 'freeze':
@@ -219,15 +258,6 @@
 			runProcessCommand(world, step.do, toIndex(step.host));
 			break;
 		}
-
-		case 'take':
-		case 'occupy':
-		case 'want':
-		case 'want-slot':
-		case 'undo': {
-			runUse(world, step.do, toIndex(step.host), step.amount);
-			break;
-		}
 	}
 }
 
--- a/packages/budgets/__tests__/exactness.test.ts
+++ b/packages/budgets/__tests__/exactness.test.ts
@@ -3,7 +3,7 @@
 import {session} from './commands.js';
 import {runSession} from './run-session.js';
 
-const runs = 20;
+const runs = 40;
 
 describe('budgets under faults', () => {
 	for (const seed of [1, 2, 3]) {
--- a/packages/budgets/__tests__/world.ts
+++ b/packages/budgets/__tests__/world.ts
@@ -4,6 +4,7 @@
 	budgetsKey,
 	createKernel,
 	type BudgetSpec,
+	type Context,
 	type Effect,
 	type Kernel,
 	type KernelEvent,
@@ -54,6 +55,8 @@
 	readonly budgets: EscrowedBudgets;
 	readonly clockRate: number;
 	readonly clockStart: Milliseconds;
+	/** Run at the next `room-changed`, for they need a context. */
+	readonly callbacks: Array<(context: Context) => void>;
 	isAlive: boolean;
 	isFrozen: boolean;
 };
@@ -148,10 +151,16 @@
 			budgets: kernel.inject(budgetsKey) as EscrowedBudgets,
 			clockRate: this.#chooseClockRate(),
 			clockStart: Math.floor(latestClockStart * this.sample()),
+			callbacks: [],
 			isAlive: true,
 			isFrozen: false,
 		};
 		this.hosts[index] = host;
+		kernel.on('room-changed', (_event, context) => {
+			for (const callback of host.callbacks.splice(0)) {
+				callback(context);
+			}
+		});
 		kernel.on('configuration-changed', (_event, context) => {
 			for (const spec of specs) {
 				host.budgets.define(spec, context);
@@ -264,19 +273,28 @@
 	}
 
 	want(host: Host, budgetId: string, amount: number): void {
-		if (host.isAlive && !host.isFrozen) {
-			const {kernel} = host;
-			kernel.on('room-changed', (event, context) => {
-				if (event.pool === `${budgetId}#${this.#draws}`) {
-					host.budgets.want(budgetId, amount, context);
-				}
-			});
-			this.handle(host, {
-				type: 'room-changed',
-				pool: `${budgetId}#${this.#draws}`,
-			});
-			this.sample();
-		}
+		this.#runWithContext(host, (context) => {
+			host.budgets.want(budgetId, amount, context);
+		});
+	}
+
+	/** Halves the fast rate on one host, or makes it whole again. */
+	resize(host: Host, isHalf: boolean): void {
+		const {perSecond, burst} = rate;
+		const spec = isHalf
+			? {...rate, perSecond: perSecond / 2, burst: burst / 2}
+			: rate;
+		this.#runWithContext(host, (context) => {
+			host.budgets.define(spec, context);
+		});
+	}
+
+	/** Removes the fast rate on one host and defines it again. */
+	redefine(host: Host): void {
+		this.#runWithContext(host, (context) => {
+			host.budgets.remove(rate.id, context);
+			host.budgets.define(rate, context);
+		});
 	}
 
 	setCut(left: number, right: number, isCut: boolean): void {
@@ -297,6 +315,13 @@
 		return 1 + step * clockRateError;
 	}
 
+	#runWithContext(host: Host, callback: (context: Context) => void): void {
+		if (host.isAlive && !host.isFrozen) {
+			host.callbacks.push(callback);
+			this.handle(host, {type: 'room-changed', pool: ''});
+		}
+	}
+
 	#announceMembers(): void {
 		const members = this.hosts.map((host) => host.self);
 		for (const host of this.hosts) {
