Choose guarantors only among hosts that follow the group's ledger

Cause: a lone entry host of a region got a guarantor of another region, which never reads that region's ledger and so never promises; the room fell to 0 three seconds after the start, and every loan with it, since a loan ends with the first right of its lender; lent slots then rested for the longest deadline (20 s seen, status of two hosts every 250 ms). Excluded: the store (up), the messages (budget states came each 150 ms). Change: guarantors come from the group's region, none where there is no other host.

--- a/packages/acceptance/__tests__/faults.test.ts
+++ b/packages/acceptance/__tests__/faults.test.ts
@@ -172,7 +172,8 @@
 					headers: {authorization: `Bearer ${schoolKey}`},
 				});
 				const {status} = answer;
-				return status === 200 ? '' : await answer.text();
+				const text = await answer.text();
+				return status === 200 ? '' : text;
 			}),
 		);
 		expect(refusals).toEqual(['', '']);
--- a/packages/budgets/__tests__/regressions.test.ts
+++ b/packages/budgets/__tests__/regressions.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {runSession} from './run-session.js';
-import {World, rate} from './world.js';
+import {World, count, rate} from './world.js';
 
 function sumUnits(world: World): number {
 	let units = 0;
@@ -59,4 +59,27 @@
 		world.run(3000);
 		expect(sumUnits(world)).toEqual(before);
 	});
+
+	// Found by real processes in an outage of the store: its guarantor lived in
+	// another region, did not follow the ledger and never promised.
+	it('keep the room of a region with one entry host, and loans of it', () => {
+		const world = new World(2, 6, {}, ['tpe', 'sin']);
+		world.run(5000);
+		const [lone, other] = world.hosts;
+		const budgets = lone!.budgets;
+		expect(budgets.getAvailable(count.id, world.toClock(lone!))).toEqual(
+			count.total,
+		);
+		const wants = {type: 'room-changed', pool: 'p'} as const;
+		other!.callbacks.push((context) => {
+			other!.budgets.want(count.id, 1, context);
+		});
+		world.handle(other!, wants);
+		world.run(3000);
+		const lent = other!.budgets.getAvailable(count.id, world.toClock(other!));
+		expect(lent).toBeGreaterThan(0);
+		expect(budgets.getAvailable(count.id, world.toClock(lone!))).toEqual(
+			count.total - lent,
+		);
+	});
 });
--- a/packages/budgets/__tests__/world.ts
+++ b/packages/budgets/__tests__/world.ts
@@ -88,6 +88,7 @@
 	readonly cuts = new Set<string>();
 	readonly #safeguards: Partial<Safeguards>;
 	readonly #seed: number;
+	readonly #regions: readonly string[];
 	readonly #rates = new Map(
 		[rate, slowRate].map((spec) => [
 			spec.id as string,
@@ -102,7 +103,13 @@
 	#digest = Buffer.alloc(0);
 	#incarnations = 0;
 
-	constructor(size: number, seed: number, safeguards: Partial<Safeguards>) {
+	constructor(
+		size: number,
+		seed: number,
+		safeguards: Partial<Safeguards>,
+		regions: readonly string[] = ['tpe'],
+	) {
+		this.#regions = regions;
 		this.#seed = seed;
 		this.#safeguards = safeguards;
 		this.store.onChange = (object) => {
@@ -137,7 +144,7 @@
 		const self: EntryHost = {
 			name: `h${index}`,
 			incarnation: String(this.#incarnations),
-			region: 'tpe',
+			region: this.#regions[index % this.#regions.length]!,
 			failureDomain: `tpe-${index % 2}`,
 			callers: {address: '127.0.0.1', port: 1},
 			peers: {address: '127.0.0.1', port: 2},
--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -318,7 +318,7 @@
 				self,
 				findPeer: (process) => peers.findProcess(process),
 				chooseGuarantor: (current, now) =>
-					chooseGuarantor(this.#self, peers, current, now),
+					chooseGuarantor(this.#self, peers, {current, region: ownRegion}, now),
 				listReceivers: (now) => listReceivers(peers, ownRegion, now),
 				hasRoomIn: (kept) => holdings.hasRoomIn(name, kept),
 				getLongestHold: () => holdings.getLongestHold(name),
--- a/packages/budgets/src/neighbours.ts
+++ b/packages/budgets/src/neighbours.ts
@@ -18,6 +18,21 @@
 	return (isNear ? 0 : 2) + (isApart ? 0 : 1);
 }
 
+/** What a guarantor is chosen for. */
+export type GuarantorChoice = {
+	readonly current: ProcessId | null;
+	/** Region of the group; undefined: the group of all hosts. */
+	readonly region: string | undefined;
+};
+
+function isInRegion(
+	peers: PeerTable,
+	name: string,
+	region: string | undefined,
+): boolean {
+	return region === undefined || peers.findMember(name)?.region === region;
+}
+
 /** Live peers that do not stop, by name. */
 function listLive(peers: PeerTable, now: Milliseconds): ProcessId[] {
 	return peers
@@ -29,14 +44,18 @@
 /**
  * The peer that may take this host's root share over early. The present one
  * stays while none that is better placed is live; null when no peer is.
+ * Only hosts of the group's region follow its ledger and can promise.
  */
 export function chooseGuarantor(
 	self: EntryHost,
 	peers: PeerTable,
-	current: ProcessId | null,
+	choice: GuarantorChoice,
 	now: Milliseconds,
 ): ProcessId | null {
-	const live = listLive(peers, now);
+	const {current, region} = choice;
+	const live = listLive(peers, now).filter(({name}) =>
+		isInRegion(peers, name, region),
+	);
 	const toRank = ({name}: ProcessId) =>
 		rankGuarantor(self, peers.findMember(name));
 	const present = live.find((process) => isSameProcess(process, current));
@@ -64,7 +83,9 @@
 ): ProcessId[] {
 	return listLive(peers, now).filter((process) => {
 		const member = peers.findMember(process.name);
-		const isInRegion = region === undefined || member?.region === region;
-		return member?.incarnation === process.incarnation && isInRegion;
+		return (
+			member?.incarnation === process.incarnation &&
+			isInRegion(peers, process.name, region)
+		);
 	});
 }
