--- a/packages/bench/src/budgets-fleet.ts
+++ b/packages/bench/src/budgets-fleet.ts
@@ -142,7 +142,7 @@
 	}
 
 	stop(host: FleetHost): void {
-		this.#handle(host, {type: 'stop-requested'});
+		this.#handle(host, {type: 'intake-closed'});
 	}
 
 	/** Takes now or after a wait; tells once how it ended. */
--- a/packages/budgets/__tests__/commands.ts
+++ b/packages/budgets/__tests__/commands.ts
@@ -181,7 +181,7 @@
 	} else if (action === 'restart') {
 		world.restart(index);
 	} else if (action === 'stop' && each.isAlive && !each.isFrozen) {
-		world.handle(each, {type: 'stop-requested'});
+		world.handle(each, {type: 'intake-closed'});
 	} else if (action === 'freeze') {
 		each.isFrozen = true;
 	} else if (action === 'wake') {
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -58,7 +58,7 @@
 		kernel.on('tick', (_event, context) => {
 			budgets.onTick(context);
 		});
-		kernel.on('stop-requested', (_event, {now}) => {
+		kernel.on('intake-closed', (_event, {now}) => {
 			budgets.onStop(now);
 		});
 	}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -18,7 +18,7 @@
 import {createMembership} from '@parsleyvale/membership';
 import {createPeers, type Peers} from '@parsleyvale/peers';
 import {createPlatformClient, type PlatformClient} from '@parsleyvale/platform';
-import {createClaims, createRequests} from '@parsleyvale/requests';
+import {createClaims, createRequests, toKeyPrefix} from '@parsleyvale/requests';
 import {createRouting} from '@parsleyvale/routing';
 import {
 	configurationSchema,
@@ -210,7 +210,10 @@
 			this.#callers.findExchange(effect.requestId)?.cancelAttempt(effect);
 		});
 		driver.onEffect('answer-look-up', ({lookUpId, hosts, lifetime}) => {
-			const body = toLookUpBody(hosts, lifetime);
+			const body = JSON.stringify({
+				...toLookUpAnswer(hosts, lifetime),
+				idempotencyKeyPrefix: toKeyPrefix(this.#kernel.self, this.#clock.now()),
+			});
 			this.#callers.answerLookUp(lookUpId, body, lifetime);
 		});
 		driver.onEffect('send-peer', ({to, topic, payload}) => {
@@ -342,11 +345,12 @@
 	}
 }
 
-function toLookUpBody(
+/** What a look-up tells a caller of the hosts, best first. */
+function toLookUpAnswer(
 	hosts: readonly EntryHost[],
 	lifetime: Milliseconds,
-): string {
-	return JSON.stringify({
+): object {
+	return {
 		lifetimeMs: lifetime,
 		hosts: hosts.map(({name, region, failureDomain, callers}) => ({
 			name,
@@ -354,7 +358,7 @@
 			failureDomain,
 			...callers,
 		})),
-	});
+	};
 }
 
 async function wait(span: Milliseconds): Promise<void> {
--- a/packages/requests/src/limits.ts
+++ b/packages/requests/src/limits.ts
@@ -1,7 +1,10 @@
 import {minute, second, type Milliseconds} from '@parsleyvale/shared';
 
 /** How long a request waits for other hosts to lend a share of its rate. */
-export const shareWait: Milliseconds = 15;
+export const shareWait: Milliseconds = 250;
+
+/** How often a customer's waiting requests ask the other hosts again. */
+export const shareWantInterval: Milliseconds = 100;
 
 /** Requests of one customer that wait for a lent share at once. */
 export const maximumShareWaiters = 64;
--- a/packages/requests/src/rate-admission.ts
+++ b/packages/requests/src/rate-admission.ts
@@ -4,7 +4,7 @@
 	type Context,
 } from '@parsleyvale/kernel';
 import {ErrorKind, type Milliseconds} from '@parsleyvale/shared';
-import {maximumShareWaiters, shareWait} from './limits.js';
+import {maximumShareWaiters, shareWait, shareWantInterval} from './limits.js';
 import type {CustomerTable} from './customer-table.js';
 import type {LiveRequest} from './live-request.js';
 
@@ -22,6 +22,7 @@
 	readonly #budgets: Budgets;
 	readonly #customers: CustomerTable;
 	readonly #onAdmitted: RequestListener;
+	#wantedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		budgets: Budgets,
@@ -89,6 +90,8 @@
 				this.#waiting.delete(customer);
 			}
 		}
+
+		this.#wantAgain(context);
 	}
 
 	/** Forgets a request that ended while it waited. */
@@ -119,6 +122,19 @@
 		this.#budgets.want(budgetId, 1, context);
 	}
 
+	/** What the other hosts were asked for may have been lost on the way. */
+	#wantAgain(context: Context): void {
+		if (context.now - this.#wantedAt < shareWantInterval) {
+			return;
+		}
+
+		this.#wantedAt = context.now;
+		for (const [customer, waiting] of this.#waiting) {
+			const budgetId = toCustomerBudgetId(customer);
+			this.#budgets.want(budgetId, waiting.length, context);
+		}
+	}
+
 	#retryCustomer(
 		customer: string,
 		waiting: LiveRequest[],
