--- a/packages/bench/src/routing-fleet.ts
+++ b/packages/bench/src/routing-fleet.ts
@@ -1,4 +1,3 @@
-import prand from 'pure-rand';
 import {
 	createKernel,
 	type AttemptOutcome,
@@ -19,6 +18,12 @@
 	createResults,
 	type Results,
 } from './routing-fake-requests.js';
+import {
+	createRandom,
+	hostCount,
+	listHosts,
+	toArrival,
+} from './routing-fleet-hosts.js';
 import {FakeServer} from './routing-fake-server.js';
 import {
 	createBehaviour,
@@ -31,7 +36,6 @@
 } from './routing-scenarios.js';
 import {VirtualClock} from './routing-virtual-clock.js';
 
-const hostCount = 10;
 const tickTime: Milliseconds = 100;
 const runTime: Milliseconds = 10 * second;
 const meanServiceTime: Milliseconds = 20;
@@ -258,40 +262,3 @@
 		return -mean * Math.log(1 - this.#random());
 	}
 }
-
-function listHosts(size: FleetSize): EntryHost[] {
-	return Array.from({length: hostCount}, (_, index) => {
-		const region = size.regions[index % size.regions.length]!;
-		const isFirstDomain =
-			index % (2 * size.regions.length) < size.regions.length;
-		return {
-			name: `host-${index}`,
-			incarnation: '1',
-			region,
-			failureDomain: `${region}-${isFirstDomain ? 'a' : 'b'}`,
-			callers: {address: '127.0.0.1', port: 1},
-			peers: {address: '127.0.0.1', port: 2},
-			leaving: false,
-		};
-	});
-}
-
-function toArrival(requestId: string): KernelEvent {
-	return {
-		type: 'request-arrived',
-		requestId,
-		method: 'GET',
-		path: '/',
-		keyHash: undefined,
-		callerAddress: '127.0.0.1',
-		idempotencyKey: undefined,
-		fingerprint: '',
-		bodyBytes: 0,
-		deadline: undefined,
-	};
-}
-
-function createRandom(seed: number): () => number {
-	const generator = prand.xoroshiro128plus(seed);
-	return () => generator.unsafeNext() / 2 ** 32 + 0.5;
-}
--- a/packages/routing/src/pool-state.ts
+++ b/packages/routing/src/pool-state.ts
@@ -10,7 +10,8 @@
 import type {DrainedPlaces} from './drained-places.js';
 import {RetryBudget} from './retry-budget.js';
 import type {Safeguards} from './safeguards.js';
-import {RegionServers, type Viewpoint} from './servers/region-servers.js';
+import type {Viewpoint} from './servers/ranking.js';
+import {RegionServers} from './servers/region-servers.js';
 
 const defaultDeadline: Milliseconds = 30 * second;
 
--- a/packages/routing/src/routing-table.ts
+++ b/packages/routing/src/routing-table.ts
@@ -9,7 +9,8 @@
 import {DrainedPlaces} from './drained-places.js';
 import {PoolState} from './pool-state.js';
 import type {Safeguards} from './safeguards.js';
-import type {RegionServers, Viewpoint} from './servers/region-servers.js';
+import type {Viewpoint} from './servers/ranking.js';
+import type {RegionServers} from './servers/region-servers.js';
 import {Topology, type Place} from './topology.js';
 
 /** A region that a request may go to, and what the way there costs. */
--- a/packages/routing/src/servers/region-servers.ts
+++ b/packages/routing/src/servers/region-servers.ts
@@ -9,9 +9,8 @@
 import type {Chooser} from '../choosers/chooser.js';
 import {DecayingAverage} from '../decaying-average.js';
 import type {Safeguards} from '../safeguards.js';
-import type {Place} from '../topology.js';
-import {ServerState} from './server-state.js';
-import {computeSubsetSize, rankServers} from './subset.js';
+import {Ranking, type Viewpoint} from './ranking.js';
+import {ServerState, sumSlots} from './server-state.js';
 
 const averageLifetime: Milliseconds = 10 * second;
 
@@ -19,15 +18,6 @@
 const toleratedServiceTimes = 5;
 const shortestStall: Milliseconds = 100;
 
-/** Which entry host asks, and among how many. */
-export type Viewpoint = {
-	readonly hostName: string;
-	readonly place: Place;
-	readonly hostCount: number;
-	/** Hosts in the failure domain of this one, itself included. */
-	readonly neighbourCount: number;
-};
-
 export type ServerChoice =
 	| {readonly kind: 'found'; readonly state: ServerState}
 	/** Servers are there, but none may take more from this host now. */
@@ -49,13 +39,7 @@
 	readonly #ejected = new Set<ServerState>();
 	readonly #chooser: Chooser;
 	readonly #safeguards: Safeguards;
-	#ranked: ServerState[] = [];
-	/** Those that this host keeps connections to. */
-	#subset: readonly ServerState[] = [];
-	/** Those of the subset in this host's failure domain. */
-	#near: readonly ServerState[] = [];
-	#place: Place | undefined;
-	#nearLimit = 0;
+	#ranking = new Ranking([], undefined);
 
 	constructor(options: {
 		readonly pool: PoolName;
@@ -71,7 +55,7 @@
 
 	/** Servers that are neither drained nor leaving, most preferred first. */
 	get usable(): readonly ServerState[] {
-		return this.#ranked;
+		return this.#ranking.servers;
 	}
 
 	/** Puts the servers of a configuration in force. */
@@ -100,19 +84,19 @@
 	chooseServer(avoid: readonly ServerName[], now: Milliseconds): ServerChoice {
 		const isOpen = (state: ServerState) =>
 			!avoid.includes(state.server.name) && this.#isOpen(state, now);
-		const open = this.#subset.filter((state) => isOpen(state));
+		const open = this.#ranking.subset.filter((state) => isOpen(state));
 		if (open.length > 0) {
-			const nearest = this.#listNearest(this.#listMoving(open, now));
+			const nearest = this.#ranking.listNearest(this.#listMoving(open, now));
 			return {kind: 'found', state: this.#chooser.choose(nearest, now)};
 		}
 
 		// Room is short: the next server by rank joins for as long as it is.
-		const next = this.#ranked.find((state) => isOpen(state));
+		const next = this.#ranking.servers.find((state) => isOpen(state));
 		if (next !== undefined) {
 			return {kind: 'found', state: next};
 		}
 
-		const isAllowed = this.#ranked.some(
+		const isAllowed = this.#ranking.servers.some(
 			(state) => !avoid.includes(state.server.name),
 		);
 		return {kind: isAllowed ? 'busy' : 'none'};
@@ -140,12 +124,12 @@
 
 	/** Slots that decisions may fill: less headroom, cold servers by ramp. */
 	computeRoom(headroom: number, now: Milliseconds): number {
-		const slots = this.#ranked.reduce(
+		const slots = this.#ranking.servers.reduce(
 			(sum, state) => sum + state.server.slots * state.slowStart.getWarmth(now),
 			0,
 		);
 		const room = Math.floor(slots * (1 - headroom));
-		return this.#ranked.length === 0 ? 0 : Math.max(1, room);
+		return this.#ranking.servers.length === 0 ? 0 : Math.max(1, room);
 	}
 
 	/** Part of the usable slots that stands on servers not ejected here. */
@@ -158,7 +142,7 @@
 
 		return this.#ejected.size === 0
 			? 1
-			: 1 - sumSlots([...this.#ejected]) / sumSlots(this.#ranked);
+			: 1 - sumSlots([...this.#ejected]) / sumSlots(this.#ranking.servers);
 	}
 
 	#isOpen(state: ServerState, now: Milliseconds): boolean {
@@ -191,25 +175,6 @@
 		return moving.length > 0 ? moving : open;
 	}
 
-	/**
-	 * Those of this host's failure domain, up to its part of their slots. Own
-	 * counts decide alone: a report that lags or lies must not send requests
-	 * the long way, where each holds its slot for longer.
-	 */
-	#listNearest(open: readonly ServerState[]): readonly ServerState[] {
-		const near = open.filter((state) => this.#isNear(state));
-		const own = this.#near.reduce((sum, state) => sum + state.inFlight, 0);
-		return near.length > 0 && own < this.#nearLimit ? near : open;
-	}
-
-	#isNear(state: ServerState): boolean {
-		const place = this.#place;
-		return (
-			place?.region === this.region &&
-			state.server.failureDomain === place.failureDomain
-		);
-	}
-
 	#applyServer(
 		server: Server,
 		isDrained: boolean,
@@ -236,18 +201,7 @@
 		const usable = [...this.#states.values()].filter(
 			(state) => !this.#safeguards.drains || state.isUsable,
 		);
-		this.#place = viewpoint.place;
-		this.#ranked = rankServers(viewpoint.hostName, usable);
-		const subsetSize = computeSubsetSize(
-			viewpoint.hostCount,
-			usable.map((state) => state.server),
-		);
-		this.#subset = this.#ranked.slice(0, subsetSize);
-		this.#near = this.#subset.filter((state) => this.#isNear(state));
-		this.#nearLimit = Math.ceil(
-			sumSlots(usable.filter((state) => this.#isNear(state))) /
-				viewpoint.neighbourCount,
-		);
+		this.#ranking = new Ranking(usable, viewpoint);
 	}
 
 	#removeIdle(name: ServerName, state: ServerState): void {
@@ -256,7 +210,3 @@
 		}
 	}
 }
-
-function sumSlots(states: readonly ServerState[]): number {
-	return states.reduce((sum, state) => sum + state.server.slots, 0);
-}
--- a/packages/routing/src/servers/server-state.ts
+++ b/packages/routing/src/servers/server-state.ts
@@ -67,3 +67,7 @@
 		return this.getLoad(now) / this.getLimit(now);
 	}
 }
+
+export function sumSlots(states: readonly ServerState[]): number {
+	return states.reduce((sum, state) => sum + state.server.slots, 0);
+}
