Keep a golden file of a whole session of separate processes

Change: look-up, admitted, refused, purchase and its repeats, drain of a region, withdrawal, stop, against golden/whole-session.txt; UPDATE_GOLDEN=1 writes it. The first file held '200' for an encoded dot segment: fetch resolves it before sending, so the step takes a doubled slash instead (the raw table has the segment).

--- /dev/null
+++ b/packages/acceptance/__tests__/golden-session.test.ts
@@ -0,0 +1,175 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {after, describe, it} from 'node:test';
+import {setTimeout as wait} from 'node:timers/promises';
+import {expect} from 'earl';
+import {lookUpPath} from '@parsleyvale/daemon';
+import type {Configuration, Drain} from '@parsleyvale/shared';
+import {
+	createFleet,
+	readerKey,
+	schoolKey,
+	startSample,
+	type Host,
+	type Sample,
+} from '../src/index.js';
+
+const goldenFile = path.resolve('golden', 'whole-session.txt');
+
+/** A request of the session and what of it is told. */
+type Step = {
+	readonly says: string;
+	readonly target: string;
+	readonly key?: string;
+	readonly method?: string;
+	readonly headers?: Record<string, string>;
+	readonly body?: string;
+};
+
+describe('golden session of separate processes', () => {
+	const fleet = createFleet();
+	const lines: string[] = [];
+
+	after(async () => {
+		await fleet.close();
+	});
+
+	async function record(host: Host, step: Step): Promise<void> {
+		const {says, target, key, method = 'GET', headers = {}, body} = step;
+		const authorization: Record<string, string> =
+			key === undefined ? {} : {authorization: `Bearer ${key}`};
+		const answer = await fetch(fleet.toUrl(host, target), {
+			method,
+			headers: {...authorization, ...headers},
+			body: body ?? null,
+		});
+		const text = await answer.text();
+		lines.push(
+			`${says}`,
+			`  ${method} ${target} at ${host.place.name}`,
+			`  ${answer.status} ${describeAnswer(answer, text)}`,
+		);
+	}
+
+	async function apply(
+		sample: Sample,
+		version: number,
+		drains: Drain[],
+	): Promise<void> {
+		const configuration: Configuration = {...sample.configuration, drains};
+		const host = sample.hosts[0]!;
+		const answer = await fleet.applyConfiguration(host, version, configuration);
+		lines.push(`configuration: ${JSON.stringify(answer)}`);
+		await wait(1000);
+	}
+
+	async function recordRefusals(host: Host): Promise<void> {
+		await record(host, {says: 'refused: no key', target: '/entries/yu'});
+		await record(host, {
+			says: 'refused: unknown key',
+			target: '/entries/yu',
+			key: `pv_${'x'.repeat(43)}`,
+		});
+		await record(host, {
+			says: 'refused: method',
+			target: '/entries/yu',
+			key: schoolKey,
+			method: 'DELETE',
+		});
+		await record(host, {
+			says: 'refused: a path that two parties may read differently',
+			target: '/entries//echo',
+			key: schoolKey,
+		});
+	}
+
+	async function recordPurchases(first: Host, second: Host): Promise<void> {
+		const purchase = {
+			target: '/echo',
+			key: schoolKey,
+			method: 'POST',
+			headers: {'idempotency-key': 'licence-1'},
+			body: 'one licence',
+		};
+		await record(first, {says: 'purchase', ...purchase});
+		await record(second, {says: 'purchase repeated elsewhere', ...purchase});
+		await record(second, {
+			says: 'its key for another purchase',
+			...purchase,
+			body: 'two licences',
+		});
+	}
+
+	it('has the answers that the file tells', async () => {
+		const sample = await startSample(fleet);
+		const [first, second] = sample.hosts as [Host, Host];
+		await record(first, {says: 'look-up', target: lookUpPath, key: schoolKey});
+		await record(first, {
+			says: 'admitted',
+			target: '/entries/yu',
+			key: schoolKey,
+		});
+		await record(second, {
+			says: 'admitted in the other region, with a customer of its own making',
+			target: '/entries/yu',
+			key: readerKey,
+			headers: {'x-customer': 'school'},
+		});
+		await record(second, {says: 'open to all', target: '/open/word'});
+		await recordRefusals(first);
+		await recordPurchases(first, second);
+		const drain: Drain = {
+			name: 'tpe',
+			target: {kind: 'region', name: 'tpe'},
+			state: 'running',
+		};
+		await apply(sample, 1, [drain]);
+		await record(first, {
+			says: 'its region is drained',
+			target: '/entries/yu',
+			key: schoolKey,
+		});
+		await apply(sample, 2, []);
+		const withdrawal = await fleet.callHost(
+			second,
+			'POST',
+			'/keys/school-1/withdraw?operation=withdraw-1',
+		);
+		lines.push(`withdrawal: ${Object.keys(withdrawal as object).join(' ')}`);
+		await record(first, {
+			says: 'refused: key withdrawn',
+			target: '/entries/yu',
+			key: schoolKey,
+		});
+		lines.push(`stop: exit code ${await first.stop()}`);
+		const found = `${lines.join('\n')}\n`;
+		if (process.env.UPDATE_GOLDEN === '1') {
+			writeFileSync(goldenFile, found);
+		}
+
+		expect(found).toEqual(readFileSync(goldenFile, 'utf8'));
+	});
+});
+
+/** What is the same in every run: no ports, ids or server numbers. */
+function describeAnswer(answer: Response, text: string): string {
+	if (!answer.headers.get('content-type')?.includes('json')) {
+		return text;
+	}
+
+	const body = JSON.parse(text) as {
+		hosts?: Array<{name: string}>;
+		kind?: string;
+		notRun?: boolean;
+		server?: string;
+		customer?: string;
+	};
+	if (body.hosts !== undefined) {
+		return `hosts ${body.hosts.map(({name}) => name).join(', ')}`;
+	}
+
+	return body.kind === undefined
+		? `served in ${body.server?.split('-')[1]} for ${body.customer ?? 'nobody'}`
+		: `${body.kind}, notRun ${String(body.notRun)}`;
+}
