--- a/packages/acceptance/__tests__/whole-path.test.ts
+++ b/packages/acceptance/__tests__/whole-path.test.ts
@@ -49,6 +49,28 @@
 		);
 	});
 
+	it('shows the key to no server, wherever the caller puts it', async () => {
+		const spellings: Array<Record<string, string>> = [
+			{cookie: `session=${schoolKey}`},
+			{'x-api-key': schoolKey},
+			{referer: `http://desk/?key=${schoolKey}`},
+			{'proxy-authorization': `Bearer ${schoolKey}`},
+		];
+		for (const spelling of spellings) {
+			const target = fleet.toUrl(sample.hosts[0]!, '/entries/yu');
+			const answer = await fetch(target, {headers: {...headers, ...spelling}});
+			expect(answer.status).toEqual(200);
+		}
+
+		const seen = await Promise.all(
+			sample.servers.map(async (server) =>
+				fleet.callServer(server, 'GET', '/executions'),
+			),
+		);
+		expect(JSON.stringify(seen)).toMatchRegex(/x-request-id/);
+		expect(JSON.stringify(seen).includes(schoolKey)).toEqual(false);
+	});
+
 	it('returns the whole body of an upload', async () => {
 		const body = 'x'.repeat(1_000_000);
 		const answer = await fetch(fleet.toUrl(sample.hosts[1]!, '/echo'), {
