Cancel the server's work when the caller goes away

Cause: the entry host forgot the exchange before it told the kernel that the caller was gone, so that the kernel's cancellation found nothing to cancel; the server worked on to the end. Excluded: the kernel (it emits cancel-attempt) and the abort (it closes the connection where it is reached). Change: tell first, forget then; tests of HEAD, 304, 204, streams both ways, 100 Continue and cancellation through an entry host.

--- /dev/null
+++ b/packages/acceptance/__tests__/http-semantics.test.ts
@@ -0,0 +1,116 @@
+import {request as startRequest} from 'node:http';
+import {after, before, describe, it} from 'node:test';
+import {setTimeout as wait} from 'node:timers/promises';
+import {Readable} from 'node:stream';
+import {expect} from 'earl';
+import {request as sendRequest} from 'undici';
+import {
+	createFleet,
+	schoolKey,
+	sendRaw,
+	startSample,
+	type Sample,
+} from '../src/index.js';
+
+const headers = {authorization: `Bearer ${schoolKey}`};
+const uploadBytes = 20_000_000;
+const chunk = new Uint8Array(100_000).fill(120);
+
+describe('HTTP through an entry host', () => {
+	const fleet = createFleet();
+	let sample: Sample;
+
+	before(async () => {
+		sample = await startSample(fleet);
+	});
+
+	after(async () => {
+		await fleet.close();
+	});
+
+	function toUrl(target: string): string {
+		return fleet.toUrl(sample.hosts[0]!, target);
+	}
+
+	it('answers HEAD without a body and with its headers', async () => {
+		const answer = await fetch(toUrl('/sized/1000'), {method: 'HEAD', headers});
+		expect(answer.status).toEqual(200);
+		expect(answer.headers.get('content-length')).toEqual('1000');
+		expect(await answer.text()).toEqual('');
+	});
+
+	it('passes 304 and 204 on without a body', async () => {
+		for (const status of [304, 204]) {
+			const answer = await fetch(toUrl(`/status/${status}`), {headers});
+			expect(answer.status).toEqual(status);
+		}
+	});
+
+	it('streams a long answer whole', async () => {
+		const answer = await fetch(toUrl(`/sized/${uploadBytes}`), {headers});
+		const body = await answer.arrayBuffer();
+		expect(body.byteLength).toEqual(uploadBytes);
+	});
+
+	it('streams an upload in chunks whole', async () => {
+		async function* createChunks() {
+			for (let sent = 0; sent < uploadBytes; sent += chunk.length) {
+				yield chunk;
+			}
+		}
+
+		const answer = await sendRequest(toUrl('/echo'), {
+			method: 'POST',
+			headers,
+			body: Readable.from(createChunks()),
+		});
+		const body = await answer.body.arrayBuffer();
+		expect(answer.statusCode).toEqual(200);
+		expect(body.byteLength).toEqual(uploadBytes);
+	});
+
+	it('says 100 Continue only when it has a place for the body', async () => {
+		const {place, line} = sample.hosts[0]!;
+		const lines = (key: string) =>
+			`POST /echo HTTP/1.1\r\nHost: desk\r\nAuthorization: Bearer ${key}\r\n` +
+			'Content-Length: 4\r\nExpect: 100-continue\r\n\r\n';
+		const good = await sendRaw(
+			place.address,
+			line.callers,
+			`${lines(schoolKey)}abcd`,
+			2,
+		);
+		expect(good.statuses).toEqual([100, 200]);
+		const bad = await sendRaw(
+			place.address,
+			line.callers,
+			lines('nobody-has-this'),
+			1,
+		);
+		expect(bad.statuses).toEqual([401]);
+	});
+
+	it("cancels the server's work when the caller goes away", async () => {
+		const {place, line} = sample.hosts[0]!;
+		const request = startRequest({
+			host: place.address,
+			port: line.callers,
+			path: '/slow/4000',
+			headers,
+		});
+		request.on('error', () => undefined);
+		request.end();
+		await wait(300);
+		request.destroy();
+		await wait(500);
+		const lists = await Promise.all(
+			sample.servers.map(async (server) =>
+				fleet.callServer(server, 'GET', '/executions'),
+			),
+		);
+		const outcomes = (lists.flat() as Array<{target: string; outcome: string}>)
+			.filter(({target}) => target.startsWith('/slow/'))
+			.map(({outcome}) => outcome);
+		expect(outcomes).toEqual(['cancelled']);
+	});
+});
--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -185,10 +185,12 @@
 		});
 		this.#exchanges.set(requestId, exchange);
 		response.once('close', () => {
-			this.#exchanges.delete(requestId);
+			// The kernel's answer, a cancellation, still needs the exchange.
 			if (!response.writableFinished) {
 				onEvent({type: 'request-cancelled', requestId});
 			}
+
+			this.#exchanges.delete(requestId);
 		});
 		onEvent({
 			type: 'request-arrived',
