--- a/packages/daemon/src/administration-server.ts
+++ b/packages/daemon/src/administration-server.ts
@@ -6,7 +6,6 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {
 	ErrorKind,
 	configurationSchema,
@@ -17,6 +16,7 @@
 	type VersionedConfiguration,
 } from '@parsleyvale/shared';
 import type {KernelEvent} from '@parsleyvale/kernel';
+import {runListener} from './listen.js';
 import type {Metrics} from './metrics.js';
 import type {OperatorAnswers, OperatorResult} from './operator-answers.js';
 
@@ -54,13 +54,7 @@
 
 	/** Starts to listen and returns the port. */
 	async listen(): Promise<number> {
-		const {address, port} = this.#options.endpoint;
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, address, () => {
-				resolve((this.#server.address() as AddressInfo).port);
-			});
-		});
+		return runListener(this.#server, this.#options.endpoint);
 	}
 
 	async close(): Promise<void> {
--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -5,7 +5,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {KernelEvent} from '@parsleyvale/kernel';
 import {
@@ -19,6 +19,8 @@
 import {parseCallerHeader, type CallerHeader} from './caller-header.js';
 import {Exchange} from './exchange.js';
 import {toKeyHash} from './key-text.js';
+import {runListener} from './listen.js';
+import type {LookUpAnswer} from './look-up-answer.js';
 import {sendRefusal, toRefusalBody} from './refusal.js';
 import {readRequestBody, type RequestBody} from './request-body.js';
 import type {ServerConnections} from './server-connections.js';
@@ -69,32 +71,22 @@
 
 	/** Starts to listen and returns the port. */
 	async listen(): Promise<number> {
-		const {address, port} = this.#options.endpoint;
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, address, () => {
-				resolve((this.#server.address() as AddressInfo).port);
-			});
-		});
+		return runListener(this.#server, this.#options.endpoint);
 	}
 
 	findExchange(requestId: RequestId): Exchange | undefined {
 		return this.#exchanges.get(requestId);
 	}
 
-	answerLookUp(
-		lookUpId: RequestId,
-		body: string,
-		lifetime: Milliseconds,
-	): void {
+	answerLookUp(lookUpId: RequestId, answer: LookUpAnswer): void {
 		const response = this.#lookUps.get(lookUpId);
 		this.#lookUps.delete(lookUpId);
-		const seconds = Math.floor(lifetime / 1000);
+		const seconds = Math.floor(answer.lifetimeMs / 1000);
 		response?.writeHead(200, {
 			'content-type': 'application/json',
 			'cache-control': `private, max-age=${seconds}`,
 		});
-		response?.end(body);
+		response?.end(JSON.stringify(answer));
 	}
 
 	/** From now on every answer closes its connection. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,7 +11,6 @@
 	createKernel,
 	membershipKey,
 	toCustomerBudgetId,
-	toRoomBudgetId,
 	type Kernel,
 	type Log,
 } from '@parsleyvale/kernel';
@@ -24,7 +23,6 @@
 	configurationSchema,
 	createSystemClock,
 	type Clock,
-	type Configuration,
 	type EntryHost,
 	type Milliseconds,
 	type Settings,
@@ -37,8 +35,10 @@
 import {createCallerServer, type CallerServer} from './caller-server.js';
 import {KernelDriver} from './kernel-driver.js';
 import {Metrics} from './metrics.js';
+import {toLookUpAnswer} from './look-up-answer.js';
 import {OperatorAnswers} from './operator-answers.js';
 import {ServerConnections} from './server-connections.js';
+import {computeStatus, type HostStatus} from './status.js';
 import {StoreEdge} from './store-edge.js';
 
 const tickInterval: Milliseconds = 10;
@@ -52,8 +52,6 @@
 	readonly administration: number;
 };
 
-type BudgetStatus = {readonly id: string; readonly available: number};
-
 /** One entry host: the kernel with its plug-ins and the edges around it. */
 export class Daemon {
 	readonly #settings: Settings;
@@ -210,11 +208,9 @@
 			this.#callers.findExchange(effect.requestId)?.cancelAttempt(effect);
 		});
 		driver.onEffect('answer-look-up', ({lookUpId, hosts, lifetime}) => {
-			const body = JSON.stringify({
-				...toLookUpAnswer(hosts, lifetime),
-				idempotencyKeyPrefix: toKeyPrefix(this.#kernel.self, this.#clock.now()),
-			});
-			this.#callers.answerLookUp(lookUpId, body, lifetime);
+			const prefix = toKeyPrefix(this.#kernel.self, this.#clock.now());
+			const answer = toLookUpAnswer(hosts, lifetime, prefix);
+			this.#callers.answerLookUp(lookUpId, answer);
 		});
 		driver.onEffect('send-peer', ({to, topic, payload}) => {
 			this.#peers.send(to, topic, payload);
@@ -293,54 +289,13 @@
 		);
 	}
 
-	#getStatus(): unknown {
-		const now = this.#clock.now();
-		const {version, configuration} = this.#getConfiguration();
-		const membership = this.#kernel.inject(membershipKey);
-		const live = new Set(membership.listLive(now).map((host) => host.name));
-		const versions = this.#configuration.listVersions(now);
-		const hosts = membership.listKnown().map((host) => {
-			const found = versions.find((entry) => entry.host === host.name);
-			return {
-				name: host.name,
-				region: host.region,
-				failureDomain: host.failureDomain,
-				// A host that was never heard is given a grace, which says little.
-				live:
-					host.name === this.#settings.name ||
-					(live.has(host.name) && host.heardAt !== undefined),
-				version: found?.version ?? 0,
-				ageMs: found === undefined ? undefined : Math.round(found.age),
-			};
+	#getStatus(): HostStatus {
+		return computeStatus({
+			kernel: this.#kernel,
+			current: this.#getConfiguration(),
+			versions: this.#configuration.listVersions(this.#clock.now()),
+			now: this.#clock.now(),
 		});
-		return {
-			self: this.#settings.name,
-			version,
-			hosts,
-			shifts: configuration.shifts,
-			drains: configuration.drains,
-			budgets: this.#listBudgets(configuration, now),
-		};
-	}
-
-	/** What this host could take now, of each rate and each room. */
-	#listBudgets(
-		configuration: Configuration,
-		now: Milliseconds,
-	): BudgetStatus[] {
-		const budgets = this.#kernel.inject(budgetsKey);
-		const rates = configuration.customers.map(({name}) =>
-			toCustomerBudgetId(name),
-		);
-		const rooms = configuration.pools.flatMap((pool) =>
-			configuration.regions.map((region) =>
-				toRoomBudgetId(pool.name, region.name),
-			),
-		);
-		return [...rates, ...rooms].map((id) => ({
-			id,
-			available: budgets.getAvailable(id, now),
-		}));
 	}
 
 	#writeLog({level, message, fields}: Log): void {
@@ -348,22 +303,6 @@
 	}
 }
 
-/** What a look-up tells a caller of the hosts, best first. */
-function toLookUpAnswer(
-	hosts: readonly EntryHost[],
-	lifetime: Milliseconds,
-): object {
-	return {
-		lifetimeMs: lifetime,
-		hosts: hosts.map(({name, region, failureDomain, callers}) => ({
-			name,
-			region,
-			failureDomain,
-			...callers,
-		})),
-	};
-}
-
 async function wait(span: Milliseconds): Promise<void> {
 	await new Promise((resolve) => {
 		setTimeout(resolve, span);
