Count a customer's rate when a request is sent, not when it arrives

Cause: a request took its token on arrival and held it while it waited for a claim or for room, up to its deadline; the bucket filled up meanwhile, so that the waiting burst and a fresh one went out together: twice the burst at once. A token given back after the bucket had been full let through the same excess. Excluded: the shares between hosts (one host is enough to show it). Change: the token is renewed in the moment of sending; giveBack is told when the token was taken and credits nothing if the bucket has been full since.

--- a/packages/budgets/__tests__/world.ts
+++ b/packages/budgets/__tests__/world.ts
@@ -275,7 +275,7 @@
 		) {
 			this.run(50);
 			const later = this.toClock(host);
-			host.budgets.giveBack(rate.id, Math.min(before, amount), later);
+			host.budgets.giveBack(rate.id, Math.min(before, amount), later, clock);
 		}
 	}
 
@@ -421,7 +421,8 @@
 		for (const {host} of ended) {
 			this.#count.giveBack(1);
 			if (host.isAlive) {
-				host.budgets.giveBack(count.id, 1, this.toClock(host));
+				const clock = this.toClock(host);
+				host.budgets.giveBack(count.id, 1, clock, clock);
 			}
 		}
 	}
--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -95,9 +95,14 @@
 		return result;
 	}
 
-	giveBack(budgetId: string, amount: number, now: Milliseconds): void {
+	giveBack(
+		budgetId: string,
+		amount: number,
+		now: Milliseconds,
+		takenAt: Milliseconds,
+	): void {
 		this.#advance(now);
-		this.holdings.findKept(budgetId)?.giveBack(amount, now);
+		this.holdings.findKept(budgetId)?.giveBack(amount, now, takenAt);
 	}
 
 	want(budgetId: string, amount: number, context: Context): void {
--- a/packages/budgets/src/holding.ts
+++ b/packages/budgets/src/holding.ts
@@ -29,7 +29,11 @@
 
 	abstract take(amount: number, now: Milliseconds): TakeResult;
 
-	abstract giveBack(amount: number, now: Milliseconds): void;
+	abstract giveBack(
+		amount: number,
+		now: Milliseconds,
+		takenAt: Milliseconds,
+	): void;
 
 	/** Whole tokens or slots that could be taken now. */
 	abstract getAvailable(now: Milliseconds): number;
--- a/packages/budgets/src/rate-holding.ts
+++ b/packages/budgets/src/rate-holding.ts
@@ -21,6 +21,8 @@
 	/** Number of the next change of the root share to replay. */
 	#nextChange: number;
 	#rootUnits: number;
+	/** When the bucket last had no place for one more token. */
+	#fullAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		spec: RateSpec,
@@ -74,8 +76,13 @@
 		return 'taken';
 	}
 
-	giveBack(amount: number, now: Milliseconds): void {
+	giveBack(amount: number, now: Milliseconds, takenAt: Milliseconds): void {
 		this.#settle(now);
+		const isMadeUpFor = takenAt < this.#fullAt;
+		if (isMadeUpFor || (amount > 1 && takenAt < now)) {
+			return;
+		}
+
 		this.#parts += Math.floor(amount) * partsPerToken;
 		this.#limit(now);
 	}
@@ -171,6 +178,7 @@
 	#limit(now: Milliseconds): void {
 		this.#parts = Math.min(this.#parts, this.#capacity);
 		this.#accruedAt = Math.max(this.#accruedAt, this.#toClock(now));
+		this.#noteFull(now);
 	}
 
 	#settle(now: Milliseconds): void {
@@ -194,6 +202,14 @@
 		}
 
 		this.#accrue(now);
+		this.#noteFull(now);
+	}
+
+	/** Called before tokens leave, so that no moment of being full is missed. */
+	#noteFull(now: Milliseconds): void {
+		if (this.#capacity - this.#parts < partsPerToken) {
+			this.#fullAt = now;
+		}
 	}
 
 	#accrue(now: Milliseconds): void {
--- a/packages/kernel/src/services/budgets.ts
+++ b/packages/kernel/src/services/budgets.ts
@@ -52,9 +52,15 @@
 
 	/**
 	 * Undoes a take: gives a count back, and a rate only where nothing can
-	 * have run.
+	 * have run. A rate that was full since `takenAt` gets nothing: the token
+	 * that was missing then has been made up for.
 	 */
-	abstract giveBack(budgetId: string, amount: number, now: Milliseconds): void;
+	abstract giveBack(
+		budgetId: string,
+		amount: number,
+		now: Milliseconds,
+		takenAt: Milliseconds,
+	): void;
 
 	/**
 	 * Asks other hosts to lend, so that `amount` can be taken. Raises
--- a/packages/requests/__tests__/fake-services.ts
+++ b/packages/requests/__tests__/fake-services.ts
@@ -19,6 +19,7 @@
 	ErrorKind,
 	configurationSchema,
 	type EntryHost,
+	type Milliseconds,
 	type Server,
 	type VersionedConfiguration,
 } from '@parsleyvale/shared';
@@ -87,6 +88,8 @@
 /** Counts tokens; negative counts would mean one was taken from nothing. */
 export class FakeBudgets extends Budgets {
 	readonly tokens = new Map<string, number>();
+	/** When every bucket was last full. */
+	fullAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	/** What hosts were asked to lend, in all; a test lends when it wants to. */
 	readonly wanted = new Map<string, number>();
 	net = 0;
@@ -110,9 +113,16 @@
 		return 'taken';
 	}
 
-	giveBack(budgetId: string): void {
-		this.tokens.set(budgetId, this.getAvailable(budgetId) + 1);
+	giveBack(
+		budgetId: string,
+		_amount: number,
+		_now: Milliseconds,
+		takenAt: Milliseconds,
+	): void {
 		this.net--;
+		if (takenAt > this.fullAt) {
+			this.tokens.set(budgetId, this.getAvailable(budgetId) + 1);
+		}
 	}
 
 	want(budgetId: string, amount: number): void {
--- a/packages/requests/src/live-request.ts
+++ b/packages/requests/src/live-request.ts
@@ -37,6 +37,8 @@
 	mayHaveRun = false;
 	/** Whether it holds a token of the customer's rate that is not yet spent. */
 	hasToken = false;
+	/** When that token was taken. */
+	tokenAt: Milliseconds = 0;
 	claim: Claim | undefined = undefined;
 	isClaimed = false;
 	/** When it stops to wait for a share of the rate. */
--- a/packages/requests/src/place-step.ts
+++ b/packages/requests/src/place-step.ts
@@ -19,6 +19,8 @@
 	readonly customers: CustomerTable;
 	readonly safeguards: Safeguards;
 	readonly onRefused: RequestListener;
+	/** Sees to a token that counts now; false: the request waits for one. */
+	readonly renewToken: (request: LiveRequest, context: Context) => boolean;
 };
 
 /** Finds a place for each attempt and forwards it, in fair turns. */
@@ -85,13 +87,17 @@
 	}
 
 	#takeTurn(request: LiveRequest, context: Context): Turn {
-		const {router, onRefused} = this.#options;
+		const {router, safeguards, onRefused, renewToken} = this.#options;
 		const refusal = this.#checkAgain(request, context.now);
 		if (refusal !== undefined) {
 			onRefused(request, refusal, context);
 			return 'served';
 		}
 
+		if (safeguards.renewsTokens && !renewToken(request, context)) {
+			return 'served';
+		}
+
 		const chosen = router.choose(
 			{
 				requestId: request.arrival.requestId,
--- a/packages/requests/src/rate-admission.ts
+++ b/packages/requests/src/rate-admission.ts
@@ -56,12 +56,32 @@
 		this.#wait(request, customer, waiting, context);
 	}
 
+	/**
+	 * Takes the token of a request that waited anew, since the rate counts when
+	 * a request is sent (issue 6): a bucket that filled up meanwhile would let
+	 * a second burst through. False: there is none, and it waits for one.
+	 */
+	renew(request: LiveRequest, context: Context): boolean {
+		const {customer} = request;
+		if (customer === undefined || request.tokenAt === context.now) {
+			return true;
+		}
+
+		this.giveBack(request, context);
+		if (this.#takeToken(request, customer, context) === undefined) {
+			return true;
+		}
+
+		this.take(request, context);
+		return false;
+	}
+
 	/** Gives a token back that was not spent. */
 	giveBack(request: LiveRequest, context: Context): void {
 		if (request.hasToken && request.customer !== undefined) {
 			request.hasToken = false;
 			const budgetId = toCustomerBudgetId(request.customer);
-			this.#budgets.giveBack(budgetId, 1, context.now);
+			this.#budgets.giveBack(budgetId, 1, context.now, request.tokenAt);
 		}
 	}
 
@@ -159,6 +179,7 @@
 		switch (this.#budgets.take(budgetId, 1, context.now)) {
 			case 'taken': {
 				request.hasToken = true;
+				request.tokenAt = context.now;
 				this.#customers.countToken(customer, context.now);
 				return undefined;
 			}
--- a/packages/requests/src/request-life.ts
+++ b/packages/requests/src/request-life.ts
@@ -69,6 +69,7 @@
 			onRefused: (request, refusal, context) => {
 				this.#end(request, refusal, context);
 			},
+			renewToken: (request, context) => this.#rate.renew(request, context),
 		});
 		this.#claim = new ClaimStep(
 			options.claims,
--- a/packages/requests/src/safeguards.ts
+++ b/packages/requests/src/safeguards.ts
@@ -14,6 +14,8 @@
 	readonly checksKeyAgain: boolean;
 	/** A retry of what may have run takes a token of its own. */
 	readonly countsRetries: boolean;
+	/** A token held while a request waited counts at its sending. */
+	readonly renewsTokens: boolean;
 	/** Nothing arriving overtakes the requests that wait. */
 	readonly keepsTurn: boolean;
 	/** A request with an Idempotency-Key waits for its claim. */
@@ -38,6 +40,7 @@
 	ignoresOldAttempts: true,
 	checksKeyAgain: true,
 	countsRetries: true,
+	renewsTokens: true,
 	keepsTurn: true,
 	claimsFirst: true,
 	readsBack: true,
--- a/packages/routing/src/holds.ts
+++ b/packages/routing/src/holds.ts
@@ -46,6 +46,6 @@
 	now: Milliseconds,
 ): void {
 	for (const {budgetId, amount} of amounts) {
-		budgets.giveBack(budgetId, amount, now);
+		budgets.giveBack(budgetId, amount, now, now);
 	}
 }
