--- a/scripts/test.js
+++ b/scripts/test.js
@@ -6,6 +6,8 @@
 
 const knownRedFile = 'KNOWN-RED.txt';
 const testFilesAtOnce = 4;
+// A file that hangs must fail and not hold the whole run up.
+const longestFileMs = 240_000;
 
 function listTestFiles() {
 	const only = process.argv.slice(2);
@@ -40,7 +42,11 @@
 let executed = 0;
 
 const files = listTestFiles();
-const stream = run({files, concurrency: testFilesAtOnce});
+const stream = run({
+	files,
+	concurrency: testFilesAtOnce,
+	timeout: longestFileMs,
+});
 stream.on('test:pass', (event) => {
 	executed += event.details.type === 'suite' ? 0 : 1;
 });
