Remove two effects that nobody emits

Cause: stop-ready and unwatch-object were planned and never used; a reader would look for who raises them. Change: gone from the union and the store edge; the kernel's test emits another effect. Result: kernel tests pass as before.

--- a/packages/daemon/src/store-edge.ts
+++ b/packages/daemon/src/store-edge.ts
@@ -24,10 +24,6 @@
 		driver.onEffect('watch-object', ({name}) => {
 			this.#watch(name);
 		});
-		driver.onEffect('unwatch-object', ({name}) => {
-			this.#watches.get(name)?.close();
-			this.#watches.delete(name);
-		});
 	}
 
 	close(): void {
--- a/packages/kernel/__tests__/kernel.test.ts
+++ b/packages/kernel/__tests__/kernel.test.ts
@@ -32,7 +32,7 @@
 		});
 		kernel.on('stop-requested', (_event, context) => {
 			this.seen.push('stop');
-			context.emit({type: 'stop-ready'});
+			context.emit({type: 'watch-object', name: 'a'});
 		});
 	}
 }
@@ -46,7 +46,7 @@
 		const recorder = new Recorder();
 		const effects = createTestKernel().use(recorder).handle({type: 'tick'}, 7);
 		expect(recorder.seen).toEqual(['tick at 7', 'raised', 'stop']);
-		expect(effects).toEqual([{type: 'stop-ready'}]);
+		expect(effects).toEqual([{type: 'watch-object', name: 'a'}]);
 	});
 
 	it('names the service that no plug-in provides', () => {
--- a/packages/kernel/src/effect.ts
+++ b/packages/kernel/src/effect.ts
@@ -73,11 +73,6 @@
 	readonly name: string;
 };
 
-export type UnwatchObject = {
-	readonly type: 'unwatch-object';
-	readonly name: string;
-};
-
 /** The answer to an operator's change. */
 export type AnswerOperator = {
 	readonly type: 'answer-operator';
@@ -117,9 +112,6 @@
 	readonly fields: Readonly<Record<string, string | number | boolean>>;
 };
 
-/** Nothing is left to do: the process may close. */
-export type StopReady = {readonly type: 'stop-ready'};
-
 export type Effect =
 	| Forward
 	| Refuse
@@ -129,12 +121,10 @@
 	| ReadObject
 	| WriteObject
 	| WatchObject
-	| UnwatchObject
 	| AnswerOperator
 	| Count
 	| Observe
-	| Log
-	| StopReady;
+	| Log;
 
 export type EffectType = Effect['type'];
 
