--- a/packages/acceptance/__tests__/http-semantics.test.ts
+++ b/packages/acceptance/__tests__/http-semantics.test.ts
@@ -1,4 +1,6 @@
-import {request as startRequest} from 'node:http';
+import {once} from 'node:events';
+import {createServer, request as startRequest} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
 import {Readable} from 'node:stream';
@@ -90,6 +92,46 @@
 		expect(bad.statuses).toEqual([401]);
 	});
 
+	it('passes the trailers of an answer on', async () => {
+		const server = createServer((request, response) => {
+			response.writeHead(200, {
+				trailer: 'x-checksum',
+				'x-request-id': String(request.headers['x-request-id']),
+			});
+			response.write('entry');
+			response.addTrailers({'x-checksum': 'abc'});
+			response.end();
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as AddressInfo;
+		const {configuration} = sample;
+		const [pool] = configuration.pools;
+		const [first] = pool!.servers;
+		await fleet.applyConfiguration(sample.hosts[0]!, 1, {
+			...configuration,
+			pools: [
+				...configuration.pools,
+				{...pool!, name: 'trailers', servers: [{...first!, name: 't', port}]},
+			],
+			routes: [
+				...configuration.routes,
+				{
+					...configuration.routes[0]!,
+					name: 'trailers',
+					pathPrefix: '/trailers',
+					pool: 'trailers',
+				},
+			],
+		});
+		await wait(1000);
+		const answer = await sendRequest(toUrl('/trailers'), {headers});
+		expect(await answer.body.text()).toEqual('entry');
+		expect(answer.trailers).toEqual({'x-checksum': 'abc'});
+		server.closeAllConnections();
+		server.close();
+	});
+
 	it("cancels the server's work when the caller goes away", async () => {
 		const {place, line} = sample.hosts[0]!;
 		const request = startRequest({
