--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -2,6 +2,7 @@
 import {Result} from 'true-myth';
 import type {Beliefs} from './beliefs.js';
 import type {SteeringArrival} from './event.js';
+import {computeHash} from './hash.js';
 import type {LiveRequest} from './live-request.js';
 import type {SteeringCustomer, SteeringRoute} from './model.js';
 import type {TrafficSplit} from './split.js';
@@ -62,6 +63,7 @@
 		route: SteeringRoute,
 		customer: SteeringCustomer | undefined,
 	): LiveRequest {
+		const object = toObject(arrival, route);
 		const timeLeft = arrival.timeLeft ?? Number.POSITIVE_INFINITY;
 		return {
 			arrival,
@@ -69,7 +71,8 @@
 			customer,
 			service: this.#split.choose(route).service,
 			homeRegions: mergeHomes(route.homeRegions, customer?.homeRegions ?? []),
-			object: toObject(arrival, route),
+			object,
+			objectHash: computeHash(object),
 			deadline: arrival.arrivedAt + Math.min(route.timeoutMs, timeLeft),
 			priority: customer?.priority ?? route.priority,
 			tried: new Set(),
--- a/packages/steering/src/beliefs-plugin.ts
+++ b/packages/steering/src/beliefs-plugin.ts
@@ -160,6 +160,10 @@
 			configuration.confirm(digest.configurationVersion, context.now - age);
 		}
 
+		for (const [id, object] of digest.handled ?? []) {
+			fleet.states.get(id)?.onHandled(object);
+		}
+
 		const sums = new Map<string, number>();
 		for (const {digest: other} of members.listLive(context.now)) {
 			for (const [id, count] of Object.entries(other?.inFlight ?? {})) {
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -4,12 +4,15 @@
 
 /** Time over which a host's demand is averaged: two digests to all hosts. */
 const demandSpan: Milliseconds = second;
+/** Requests a second below which others need not hear of a customer here. */
+const leastDemand = 0.01;
 /** Part of a rate that is dealt out by demand; the rest goes evenly to all hosts. */
 const partByDemand = 0.8;
-/** Part of the burst that hosts may overdraw together, while others hold more. */
-const overdraftPart = 0.5;
+/** Part of the burst that is never overdrawn: what all hosts admit before they hear of each other stays near the burst. */
+const keptPart = 0.4;
 
 type Bucket = {
+	customer: SteeringCustomer;
 	tokens: number;
 	refilledAt: Milliseconds;
 	/** Requests a second that ask for tokens here. */
@@ -26,8 +29,8 @@
 /**
  * Customers' rates and bursts, counted over all hosts. Each host has a share
  * by its part of the demand and fills a bucket of its own from it. A bucket may
- * go below zero while the others' buckets hold tokens, by no more than an equal
- * part of them, so that a small share does not refuse a burst that fits.
+ * go below zero while the others' buckets hold tokens, by no more than this
+ * host's share of them, so that a small share does not refuse a burst that fits.
  */
 export class CustomerRates {
 	readonly #options: CustomerRatesOptions;
@@ -46,7 +49,7 @@
 		const share = this.#computeShare(customer, now);
 		const bucket = this.#refill(customer, share, now);
 		bucket.demand += second / demandSpan;
-		if (bucket.tokens >= 1 - this.#computeOverdraft(customer, bucket, now)) {
+		if (bucket.tokens >= 1 - this.#computeOverdraft(customer, {bucket, share}, now)) {
 			bucket.tokens -= 1;
 			return undefined;
 		}
@@ -67,8 +70,9 @@
 	describe(now: Milliseconds): Record<string, [number, number]> {
 		const described: Record<string, [number, number]> = {};
 		for (const [name, bucket] of this.#buckets) {
-			fadeDemand(bucket, now);
-			if (bucket.demand > 0.01) {
+			const share = this.#computeShare(bucket.customer, now);
+			this.#refill(bucket.customer, share, now);
+			if (bucket.demand > leastDemand) {
 				described[name] = [toTenths(bucket.demand), toTenths(bucket.tokens)];
 			}
 		}
@@ -77,18 +81,20 @@
 	}
 
 	#refill(
-		{name, ratePerSecond, burst}: SteeringCustomer,
+		customer: SteeringCustomer,
 		share: number,
 		now: Milliseconds,
 	): Bucket {
+		const {name, ratePerSecond, burst} = customer;
 		const capacity = burst * share;
 		let bucket = this.#buckets.get(name);
 		if (bucket === undefined) {
 			const tokens = this.#options.isFirstStart ? capacity : 0;
-			bucket = {tokens, refilledAt: now, demand: 0, demandAt: now};
+			bucket = {customer, tokens, refilledAt: now, demand: 0, demandAt: now};
 			this.#buckets.set(name, bucket);
 		}
 
+		bucket.customer = customer;
 		fadeDemand(bucket, now);
 		const refill = (ratePerSecond * share * (now - bucket.refilledAt)) / second;
 		bucket.tokens = Math.min(Math.max(1, capacity), bucket.tokens + refill);
@@ -111,7 +117,7 @@
 
 	#computeOverdraft(
 		{name, burst}: SteeringCustomer,
-		bucket: Bucket,
+		{bucket, share}: {readonly bucket: Bucket; readonly share: number},
 		now: Milliseconds,
 	): number {
 		const live = this.#options.members.listLive(now);
@@ -120,8 +126,8 @@
 			held += digest?.customers?.[name]?.[1] ?? 0;
 		}
 
-		const spare = held - burst * overdraftPart;
-		return Math.max(0, spare) / (live.length + 1);
+		const spare = Math.max(0, held - burst * keptPart);
+		return spare * share;
 	}
 }
 
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -5,6 +5,7 @@
 import type {SteeringEffect} from './effect.js';
 import type {SteeringEvent} from './event.js';
 import {limitsKey, type Limits} from './limits.js';
+import {placerKey, type Placer} from './placer.js';
 import type {SteeringContext, SteeringKernel} from './types.js';
 
 /** Hosts of a region share its servers: each hears of others' load in less than an answer's work. */
@@ -13,6 +14,8 @@
 const fleetInterval: Milliseconds = 500;
 /** In a region of more hosts than this, each sends less often, so that the sum stays. */
 const hostsAtFullPace = 4;
+/** What servers handled is told for two digests to all hosts, so that one may be lost. */
+const handledSpan: Milliseconds = 1000;
 /** Entries of hosts that are gone are looked for this often. */
 const cleanInterval: Milliseconds = 5000;
 
@@ -20,6 +23,7 @@
 export class DigestPlugin extends Plugin<SteeringEvent, SteeringEffect> {
 	#beliefs!: Beliefs;
 	#limits!: Limits;
+	#placer!: Placer;
 	#sequence = 0;
 	#lastInRegion: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastInFleet: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -32,6 +36,7 @@
 	install(kernel: SteeringKernel): void {
 		this.#beliefs = kernel.inject(beliefsKey);
 		this.#limits = kernel.inject(limitsKey);
+		this.#placer = kernel.inject(placerKey);
 		kernel.on('tick', (_event, context) => {
 			this.#sendWhenDue(context);
 			this.#cleanWhenDue(context);
@@ -104,6 +109,7 @@
 				storeAnsweredAt === undefined ? null : Math.ceil(now - storeAnsweredAt),
 			fleetRevision: fleet.revision,
 			inFlight,
+			handled: this.#placer.listHandled(now - handledSpan),
 			customers: this.#limits.rates.describe(now),
 		};
 	}
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -27,6 +27,8 @@
 	fleetRevision: z.int(),
 	/** Requests that run at each backend server for the host. */
 	inFlight: z.record(z.string(), amountSchema).optional(),
+	/** Servers and hashes of the objects that they handled for the host of late. */
+	handled: z.array(z.tuple([z.string(), z.int()])).optional(),
 	/** For each customer, its requests a second here and the tokens left. */
 	customers: z
 		.record(z.string(), z.tuple([amountSchema, amountSchema]))
--- a/packages/steering/src/live-request.ts
+++ b/packages/steering/src/live-request.ts
@@ -12,6 +12,7 @@
 	readonly homeRegions: readonly string[];
 	/** Requests for the same one are best served by the same server. */
 	readonly object: string;
+	readonly objectHash: number;
 	readonly deadline: Milliseconds;
 	readonly priority: number;
 	/** Servers that it was sent to, or tried to be. */
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -16,10 +16,12 @@
 const waitingAtServer = 1;
 /** Servers of each region that are weighed first, in the object's order. */
 const weighedOfRegion = 6;
-/** How likely a server knows an object that this host did not send there. */
-const knownByRank = [0.6, 0.3];
-const knownOtherwise = 0.08;
-/** How likely it still knows one that this host sent there. */
+/** How likely a server knows an object that no host is known to have sent there. */
+const knownByRank = [0.3];
+const knownOtherwise = 0.05;
+/** How likely it still knows one that was lately sent there. */
+/** Work takes a slot from others, too: it counts so much more than waiting does. */
+const slotWeight = 0.7;
 const knownBySending = 0.95;
 /** A server that failed last is weighed as if it took so much longer. */
 const suspectFactor = 2;
@@ -29,6 +31,7 @@
 	readonly service: string;
 	/** Undefined: any server is as good. */
 	readonly object: string;
+	readonly objectHash: number;
 	/** Regions that may serve it; empty: all. */
 	readonly homeRegions: readonly string[];
 	readonly bodyBytes: number;
@@ -40,7 +43,7 @@
 export type Place = {
 	readonly state: ServerState;
 	readonly running: Running;
-	readonly object: string;
+	readonly objectHash: number;
 	readonly isWarm: boolean;
 	readonly load: number;
 	readonly candidates: number;
@@ -63,6 +66,12 @@
 	readonly #beliefs: Beliefs;
 	readonly #limits: Limits;
 	readonly #delays: Delays;
+	readonly #handled: Array<{
+		readonly server: string;
+		readonly objectHash: number;
+		readonly at: Milliseconds;
+	}> = [];
+
 
 	constructor(beliefs: Beliefs, limits: Limits) {
 		this.#beliefs = beliefs;
@@ -97,7 +106,7 @@
 		ended: SteeringAttemptEnded,
 		now: Milliseconds,
 	): boolean {
-		const {state, running, object} = place;
+		const {state, running, objectHash} = place;
 		if (ended.connectTime !== undefined) {
 			this.#delays.observe(state.server, ended.connectTime);
 		}
@@ -112,11 +121,21 @@
 			return state.onFailed(running, now);
 		}
 
-		state.onAnswered(running, object, now);
+		state.onAnswered(running, objectHash, now);
+		this.#handled.push({server: state.server.id, objectHash, at: now});
 		this.times.observe(route, place.isWarm, now - running.sentAt);
 		return false;
 	}
 
+	/** Servers and the objects that they have handled since then. */
+	listHandled(since: Milliseconds): Array<[server: string, object: number]> {
+		while (this.#handled.length > 0 && this.#handled[0]!.at < since) {
+			this.#handled.shift();
+		}
+
+		return this.#handled.map(({server, objectHash}) => [server, objectHash]);
+	}
+
 	#isAllowed(
 		state: ServerState,
 		{homeRegions, tried}: PlaceRequest,
@@ -159,12 +178,12 @@
 
 	#weigh(
 		state: ServerState,
-		{route, object, bodyBytes}: PlaceRequest,
+		{route, objectHash, bodyBytes}: PlaceRequest,
 		{rank, load}: {readonly rank: number; readonly load: number},
 		now: Milliseconds,
 	): Weighed {
 		const {warm, cold} = this.times.get(route);
-		const known = state.hasHandled(object)
+		const known = state.hasHandled(objectHash)
 			? knownBySending
 			: (knownByRank[rank] ?? knownOtherwise);
 		const work = known * warm + (1 - known) * cold;
@@ -173,16 +192,16 @@
 		const slowness =
 			state.computeSlowness(now) * (state.isSuspect ? suspectFactor : 1);
 		const way = this.#delays.compute(state.server, bodyBytes);
-		return {state, load, work, cost: way + (wait + work) * slowness};
+		return {state, load, work, cost: way + (wait + work * (1 + slotWeight)) * slowness};
 	}
 
 	#take(
 		{state, work, load, cost}: Weighed,
-		{object}: PlaceRequest,
+		{objectHash}: PlaceRequest,
 		candidates: number,
 		now: Milliseconds,
 	): Place {
-		const isWarm = state.hasHandled(object);
+		const isWarm = state.hasHandled(objectHash);
 		const running = {sentAt: now, expected: work};
 		state.onSent(running);
 		if (state.isCold(now)) {
@@ -190,7 +209,7 @@
 			this.#limits.cold.take(state.server.id, rate, now);
 		}
 
-		return {state, running, object, isWarm, load, candidates, expected: cost};
+		return {state, running, objectHash, isWarm, load, candidates, expected: work};
 	}
 
 	#getColdRate({server}: ServerState): number {
--- a/packages/steering/src/request-life.ts
+++ b/packages/steering/src/request-life.ts
@@ -172,10 +172,10 @@
 		request: LiveRequest,
 		context: SteeringContext,
 	): ErrorKind | undefined {
-		const {route, service, object, homeRegions, tried, arrival} = request;
+		const {route, tried, arrival} = request;
 		const {bodyBytes} = arrival;
 		const chosen = this.#options.placer.choose(
-			{route, service, object, homeRegions, tried, bodyBytes},
+			{...request, bodyBytes},
 			context.now,
 		);
 		if (chosen.isErr) {
@@ -444,6 +444,7 @@
 				candidates: place!.candidates,
 				load: Math.round(place!.load * 10) / 10,
 				isWarm: place!.isWarm,
+				objectHash: request.objectHash,
 				expectedMs: Math.round(place!.expected),
 				waitedMs: waitingSince && Math.round(now - waitingSince),
 				version: beliefs.configuration.version,
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -13,8 +13,8 @@
 const slownessGain = 0.15;
 const fastest = 0.3;
 const slowest = 30;
-/** Objects that are remembered as lately handled, for each server. */
-const rememberedObjects = 64;
+/** Objects that a server is taken to keep at hand, the latest ones. */
+const objectsAtHand = 24;
 
 /** A request that runs at a server. */
 export type Running = {
@@ -40,7 +40,8 @@
 	#ejectedUntil: Milliseconds = 0;
 	#reportedOthers = 0;
 	#reportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
-	readonly #objects = new Map<string, Milliseconds>();
+	/** Hashes of the objects that it handled last, the latest at the end. */
+	readonly #objects = new Set<number>();
 
 	constructor(server: BackendServer, now: Milliseconds) {
 		this.server = server;
@@ -90,7 +91,7 @@
 		return Math.min(slowest, slowness);
 	}
 
-	hasHandled(object: string): boolean {
+	hasHandled(object: number): boolean {
 		return this.#objects.has(object);
 	}
 
@@ -98,14 +99,14 @@
 		this.running.add(running);
 	}
 
-	onAnswered(running: Running, object: string, now: Milliseconds): void {
+	onAnswered(running: Running, object: number, now: Milliseconds): void {
 		this.running.delete(running);
 		this.#failures = 0;
 		this.#ejections = 0;
 		const ratio = (now - running.sentAt) / running.expected;
 		const bounded = Math.min(slowest, Math.max(fastest, ratio));
 		this.#slowness += slownessGain * (bounded - this.#slowness);
-		this.#remember(object, now);
+		this.onHandled(object);
 	}
 
 	/** The server rejected it or gave nothing; the work was not measured. */
@@ -133,11 +134,12 @@
 		this.#reportedAt = now;
 	}
 
-	#remember(object: string, now: Milliseconds): void {
+	/** It has handled a request for the object, of this host or another. */
+	onHandled(object: number): void {
 		this.#objects.delete(object);
-		this.#objects.set(object, now);
-		if (this.#objects.size > rememberedObjects) {
-			const [oldest] = this.#objects.keys();
+		this.#objects.add(object);
+		if (this.#objects.size > objectsAtHand) {
+			const [oldest] = this.#objects;
 			this.#objects.delete(oldest!);
 		}
 	}
