--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -80,6 +80,7 @@
 			attempt: 0,
 			place: undefined,
 			waitingSince: undefined,
+			knownAt: undefined,
 		};
 	}
 }
--- a/packages/steering/src/beliefs-plugin.ts
+++ b/packages/steering/src/beliefs-plugin.ts
@@ -65,7 +65,11 @@
 			log(context, 'stopping', {});
 		});
 		kernel.on('tick', (_event, context) => {
-			const {fleet} = this.#beliefs;
+			const {fleet, members} = this.#beliefs;
+			for (const name of members.listSilent(context.now)) {
+				fleet.applyLoad(name, {}, context.now);
+			}
+
 			const gone = fleet.removeMissing(context.now);
 			this.#logChanges(gone, fleet.revision, context);
 			this.#fetchWhenBehind(context);
@@ -164,16 +168,11 @@
 			fleet.states.get(id)?.onHandled(object);
 		}
 
-		const sums = new Map<string, number>();
-		for (const {digest: other} of members.listLive(context.now)) {
-			for (const [id, count] of Object.entries(other?.inFlight ?? {})) {
-				sums.set(id, (sums.get(id) ?? 0) + count);
-			}
+		for (const [id, object, left] of digest.firstWork ?? []) {
+			fleet.states.get(id)?.onOthersFirst(object, context.now + left);
 		}
 
-		for (const [id, state] of fleet.states) {
-			state.othersInFlight = sums.get(id) ?? 0;
-		}
+		fleet.applyLoad(digest.name, digest.inFlight ?? {}, context.now);
 	}
 
 	#onSuspended(context: SteeringContext): void {
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -7,7 +7,7 @@
 /** Requests a second below which others need not hear of a customer here. */
 const leastDemand = 0.01;
 /** Part of a rate that is dealt out by demand; the rest goes evenly to all hosts. */
-const partByDemand = 0.8;
+const partByDemand = 0.9;
 /** Part of the burst that is never overdrawn: what all hosts admit before they hear of each other stays near the burst. */
 const keptPart = 0.4;
 
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -87,9 +87,17 @@
 		const age = configuration.computeAge(now);
 		this.#sequence += 1;
 		const inFlight: Record<string, number> = {};
-		for (const [id, {running}] of fleet.states) {
-			if (running.size > 0) {
-				inFlight[id] = running.size;
+		const firstWork: Array<[string, number, number]> = [];
+		for (const [id, state] of fleet.states) {
+			if (state.running.size > 0) {
+				inFlight[id] = state.running.size;
+			}
+
+			for (const {objectHash, sentAt, expected} of state.running) {
+				if (!state.hasHandled(objectHash)) {
+					const left = Math.max(0, Math.round(sentAt + expected - now));
+					firstWork.push([id, objectHash, left]);
+				}
 			}
 		}
 
@@ -109,6 +117,7 @@
 				storeAnsweredAt === undefined ? null : Math.ceil(now - storeAnsweredAt),
 			fleetRevision: fleet.revision,
 			inFlight,
+			firstWork,
 			handled: this.#placer.listHandled(now - handledSpan),
 			customers: this.#limits.rates.describe(now),
 		};
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -29,6 +29,8 @@
 	inFlight: z.record(z.string(), amountSchema).optional(),
 	/** Servers and hashes of the objects that they handled for the host of late. */
 	handled: z.array(z.tuple([z.string(), z.int()])).optional(),
+	/** Servers, hashes of objects that are new to them, and when the work on these should end. */
+	firstWork: z.array(z.tuple([z.string(), z.int(), z.number()])).optional(),
 	/** For each customer, its requests a second here and the tokens left. */
 	customers: z
 		.record(z.string(), z.tuple([amountSchema, amountSchema]))
--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -65,6 +65,8 @@
 	#revision = -1;
 	readonly #states = new Map<string, ServerState>();
 	readonly #pools = new Map<string, ServicePool>();
+	/** For each other host, its requests that run at each server. */
+	readonly #loads = new Map<string, Readonly<Record<string, number>>>();
 
 	/** Revision of the store that the list shows; -1 before the first. */
 	get revision(): number {
@@ -120,10 +122,35 @@
 		return changes;
 	}
 
+	/** Takes the requests of another host that run at each server. */
+	applyLoad(
+		host: string,
+		inFlight: Readonly<Record<string, number>>,
+		now: Milliseconds,
+	): void {
+		for (const [id, count] of Object.entries(this.#loads.get(host) ?? {})) {
+			this.#addLoad(id, -count, now);
+		}
+
+		for (const [id, count] of Object.entries(inFlight)) {
+			this.#addLoad(id, count, now);
+		}
+
+		this.#loads.set(host, inFlight);
+	}
+
 	findPool(service: string): ServicePool | undefined {
 		return this.#pools.get(service);
 	}
 
+	#addLoad(id: string, count: number, now: Milliseconds): void {
+		const state = this.#states.get(id);
+		if (state !== undefined) {
+			state.othersInFlight = Math.max(0, state.othersInFlight + count);
+			state.usedAt = now;
+		}
+	}
+
 	#markMissing(
 		servers: readonly BackendServer[],
 		until: Milliseconds,
--- a/packages/steering/src/live-request.ts
+++ b/packages/steering/src/live-request.ts
@@ -22,4 +22,6 @@
 	attempt: number;
 	place: Place | undefined;
 	waitingSince: Milliseconds | undefined;
+	/** Until when it waits for a server to know its object. */
+	knownAt: Milliseconds | undefined;
 };
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -92,6 +92,13 @@
 		);
 	}
 
+	/** Names of hosts that are not heard any more. */
+	listSilent(now: Milliseconds): readonly string[] {
+		return this.listKnown()
+			.filter((member) => !isHeard(member, now, silenceOfLeft))
+			.map(({host}) => host.name);
+	}
+
 	/** Hosts that may hold a share of the rates. */
 	listHolders(now: Milliseconds): readonly Member[] {
 		return this.listKnown().filter(
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -23,6 +23,8 @@
 /** Work takes a slot from others, too: it counts so much more than waiting does. */
 const slotWeight = 0.7;
 const knownBySending = 0.95;
+/** A server without work for this long gets the next request that prefers it. */
+const unusedTime: Milliseconds = 1500;
 /** A server that failed last is weighed as if it took so much longer. */
 const suspectFactor = 2;
 
@@ -35,6 +37,7 @@
 	/** Regions that may serve it; empty: all. */
 	readonly homeRegions: readonly string[];
 	readonly bodyBytes: number;
+	readonly deadline: Milliseconds;
 	/** Servers that it went to before. */
 	readonly tried: ReadonlySet<string>;
 };
@@ -50,8 +53,23 @@
 	readonly expected: Milliseconds;
 };
 
+/** Why there is no place. */
+export type PlaceProblem = {
+	readonly kind: ErrorKind;
+	/**
+	 * A server works on the object for the first time: waiting so long for it
+	 * costs less than having another do the same.
+	 */
+	readonly knownIn: Milliseconds | undefined;
+};
+
 type Weighed = {
+	/** Until the server knows the object; undefined: send at once. */
+	readonly knownIn: Milliseconds | undefined;
 	readonly state: ServerState;
+	/** Until the answer is expected. */
+	readonly time: Milliseconds;
+	/** The time, and what the work takes from others. */
 	readonly cost: Milliseconds;
 	readonly work: Milliseconds;
 	readonly load: number;
@@ -80,20 +98,28 @@
 	}
 
 	/** Errors: no-server, no-room. */
-	choose(request: PlaceRequest, now: Milliseconds): Result<Place, ErrorKind> {
+	choose(
+		request: PlaceRequest,
+		now: Milliseconds,
+	): Result<Place, PlaceProblem> {
 		const order = this.#beliefs.fleet.findPool(request.service)?.rank(request.object);
 		const usable = (order ?? []).filter((state) =>
 			this.#isAllowed(state, request, now),
 		);
 		if (usable.length === 0) {
-			return Result.err(ErrorKind.NoServer);
+			return Result.err({kind: ErrorKind.NoServer, knownIn: undefined});
 		}
 
 		const best =
+			this.#findUnused(usable, request, now) ??
 			this.#findBest(toFirstOfRegions(usable), request, now) ??
 			this.#findBest(usable, request, now);
 		if (best === undefined) {
-			return Result.err(ErrorKind.NoRoom);
+			return Result.err({kind: ErrorKind.NoRoom, knownIn: undefined});
+		}
+
+		if (best.knownIn !== undefined) {
+			return Result.err({kind: ErrorKind.NoRoom, knownIn: best.knownIn});
 		}
 
 		return Result.ok(this.#take(best, request, usable.length, now));
@@ -151,6 +177,23 @@
 		);
 	}
 
+	/**
+	 * The first server of this region in the object's order, if it has had no
+	 * work of late: a server that joined would else wait for the others to be
+	 * full, since none of its objects is known there.
+	 */
+	#findUnused(
+		states: readonly ServerState[],
+		request: PlaceRequest,
+		now: Milliseconds,
+	): Weighed | undefined {
+		const {region} = this.#beliefs.settings.self;
+		const first = states.find(({server}) => server.region === region);
+		return first !== undefined && now - first.usedAt > unusedTime
+			? this.#findBest([first], request, now)
+			: undefined;
+	}
+
 	#findBest(
 		states: readonly ServerState[],
 		request: PlaceRequest,
@@ -168,7 +211,8 @@
 			}
 
 			const weighed = this.#weigh(state, request, {rank, load}, now);
-			if (best === undefined || weighed.cost < best.cost) {
+			const canEnd = now + weighed.time < request.deadline;
+			if (canEnd && (best === undefined || weighed.cost < best.cost)) {
 				best = weighed;
 			}
 		}
@@ -183,16 +227,23 @@
 		now: Milliseconds,
 	): Weighed {
 		const {warm, cold} = this.times.get(route);
-		const known = state.hasHandled(objectHash)
-			? knownBySending
-			: (knownByRank[rank] ?? knownOtherwise);
+		const isKnown = state.hasHandled(objectHash);
+		const knownIn = isKnown
+			? undefined
+			: state.findFirstWork(objectHash, now);
+		const known =
+			isKnown || knownIn !== undefined
+				? knownBySending
+				: (knownByRank[rank] ?? knownOtherwise);
 		const work = known * warm + (1 - known) * cold;
 		const {slots} = state.server;
 		const wait = (Math.max(0, load - slots + 1) * work) / slots;
 		const slowness =
 			state.computeSlowness(now) * (state.isSuspect ? suspectFactor : 1);
 		const way = this.#delays.compute(state.server, bodyBytes);
-		return {state, load, work, cost: way + (wait + work * (1 + slotWeight)) * slowness};
+		const time = way + (knownIn ?? 0) + (wait + work) * slowness;
+		const cost = time + work * slotWeight * slowness;
+		return {state, load, work, time, cost, knownIn};
 	}
 
 	#take(
@@ -202,7 +253,7 @@
 		now: Milliseconds,
 	): Place {
 		const isWarm = state.hasHandled(objectHash);
-		const running = {sentAt: now, expected: work};
+		const running = {sentAt: now, expected: work, objectHash};
 		state.onSent(running);
 		if (state.isCold(now)) {
 			const rate = this.#getColdRate(state);
--- a/packages/steering/src/request-life.ts
+++ b/packages/steering/src/request-life.ts
@@ -10,7 +10,7 @@
 import type {SteeringArrival, SteeringAttemptEnded} from './event.js';
 import type {Limits} from './limits.js';
 import type {LiveRequest} from './live-request.js';
-import type {Placer} from './placer.js';
+import type {Placer, PlaceProblem} from './placer.js';
 import {TrafficSplit} from './split.js';
 import type {SteeringContext} from './types.js';
 import {WaitingRoom} from './waiting-room.js';
@@ -19,6 +19,8 @@
 const mostTries = 4;
 /** A repeatable request is taken from a server that needs so many times what was expected. */
 const overdueFactor = 2.5;
+/** Work on an unknown object is not overdue before so many times its usual time. */
+const overdueColdFactor = 1.6;
 /** Callers that were refused for want of room come back within these times. */
 const shortestReturn: Milliseconds = 250;
 const longestReturn: Milliseconds = 900;
@@ -150,17 +152,13 @@
 	}
 
 	#place(request: LiveRequest, context: SteeringContext): void {
-		const refusal = this.#tryPlace(request, context);
-		if (refusal === undefined) {
+		const problem = this.#tryPlace(request, context);
+		if (problem === undefined) {
 			return;
 		}
 
-		const isWorthWaiting =
-			refusal === ErrorKind.NoRoom &&
-			this.#waiting.computeWait(request, context.now) <=
-				this.#computePatience(request);
-		if (!isWorthWaiting) {
-			this.#refuse(request, refusal, context);
+		if (!this.#isWorthWaiting(request, problem, context.now)) {
+			this.#refuse(request, problem.kind, context);
 			return;
 		}
 
@@ -168,10 +166,23 @@
 		this.#waiting.add(request);
 	}
 
+	#isWorthWaiting(
+		request: LiveRequest,
+		{kind, knownIn}: PlaceProblem,
+		now: Milliseconds,
+	): boolean {
+		return (
+			knownIn !== undefined ||
+			(kind === ErrorKind.NoRoom &&
+				this.#waiting.computeWait(request, now) <=
+					this.#computePatience(request))
+		);
+	}
+
 	#tryPlace(
 		request: LiveRequest,
 		context: SteeringContext,
-	): ErrorKind | undefined {
+	): PlaceProblem | undefined {
 		const {route, tried, arrival} = request;
 		const {bodyBytes} = arrival;
 		const chosen = this.#options.placer.choose(
@@ -179,6 +190,9 @@
 			context.now,
 		);
 		if (chosen.isErr) {
+			const {knownIn} = chosen.error;
+			request.knownAt =
+				knownIn === undefined ? undefined : context.now + knownIn;
 			return chosen.error;
 		}
 
@@ -212,8 +226,7 @@
 			const isFailure = status >= 500;
 			request.runs += 1;
 			if (isHeld && isFailure && isRepeatable && this.#canRunAgain(request)) {
-				const next = this.#repeat(request, context);
-				if (next === undefined) {
+				if (this.#repeat(request, context)) {
 					return;
 				}
 			}
@@ -227,7 +240,7 @@
 			const isAgain =
 				isRepeatable &&
 				this.#canRunAgain(request) &&
-				this.#repeat(request, context) === undefined;
+				this.#repeat(request, context);
 			if (!isAgain) {
 				this.#refuse(request, ErrorKind.OutcomeUnknown, context);
 			}
@@ -254,10 +267,11 @@
 	#repeat(
 		request: LiveRequest,
 		context: SteeringContext,
-	): ErrorKind | undefined {
-		return this.#takeRepeat(request, context.now)
-			? this.#tryPlace(request, context)
-			: ErrorKind.NoRoom;
+	): boolean {
+		return (
+			this.#takeRepeat(request, context.now) &&
+			this.#tryPlace(request, context) === undefined
+		);
 	}
 
 	#takeRepeat({service}: LiveRequest, now: Milliseconds): boolean {
@@ -300,7 +314,7 @@
 
 	/** Whether a repeatable request should leave a server that takes too long. */
 	#isOverdue(
-		{route, place, runs}: LiveRequest,
+		{route, place, runs, deadline}: LiveRequest,
 		now: Milliseconds,
 	): boolean {
 		if (place === undefined || !route.isIdempotent) {
@@ -308,11 +322,14 @@
 		}
 
 		const {warm, cold} = this.#options.placer.times.get(route);
-		const patience = Math.max(place.expected * overdueFactor, cold * 1.5);
-		// The other server needs time, too.
-		const latest = route.timeoutMs - 2 * warm;
+		const patience = Math.max(
+			place.expected * overdueFactor,
+			cold * overdueColdFactor,
+		);
 		const age = now - place.running.sentAt;
-		return runs + 1 < route.maximumAttempts && age > Math.min(patience, latest);
+		// The other server needs time, too.
+		const canEnd = deadline - now > warm * overdueFactor;
+		return canEnd && runs + 1 < route.maximumAttempts && age > patience;
 	}
 
 	/** Sends an overdue request to another server, if one has room. */
@@ -343,11 +360,9 @@
 	}
 
 	#isUseless(request: LiveRequest, now: Milliseconds): boolean {
-		const {waitingSince} = request;
-		return (
-			waitingSince !== undefined &&
-			now - waitingSince > this.#computePatience(request)
-		);
+		const {waitingSince, knownAt} = request;
+		const begun = Math.max(waitingSince ?? now, knownAt ?? 0);
+		return now - begun > this.#computePatience(request);
 	}
 
 	#stopAttempt(request: LiveRequest, context: SteeringContext): void {
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -21,6 +21,7 @@
 	readonly sentAt: Milliseconds;
 	/** How long an answer was expected to take. */
 	readonly expected: Milliseconds;
+	readonly objectHash: number;
 };
 
 /** What this host has seen and heard of one backend server. */
@@ -32,7 +33,11 @@
 	missingUntil: Milliseconds | undefined;
 	/** Requests of other hosts that run there, as they last said. */
 	othersInFlight = 0;
+	/** When work of other hosts on objects that are new there should end. */
+	readonly #othersFirst = new Map<number, Milliseconds>();
 	readonly running = new Set<Running>();
+	/** When it was last known to have work. */
+	usedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	/** Work of this server against that of others: above 1 it is slower. */
 	#slowness = 1;
 	#failures = 0;
@@ -95,8 +100,34 @@
 		return this.#objects.has(object);
 	}
 
+	/**
+	 * How long until it will know an object on which it works for the first
+	 * time; undefined when it does not.
+	 */
+	findFirstWork(object: number, now: Milliseconds): Milliseconds | undefined {
+		let end = this.#othersFirst.get(object);
+		if (end !== undefined && end < now) {
+			this.#othersFirst.delete(object);
+			end = undefined;
+		}
+
+		for (const {objectHash, sentAt, expected} of this.running) {
+			if (objectHash === object) {
+				end = Math.min(end ?? Number.POSITIVE_INFINITY, sentAt + expected);
+			}
+		}
+
+		return end === undefined ? undefined : Math.max(0, end - now);
+	}
+
+	/** Another host has it work on an object that is new there. */
+	onOthersFirst(object: number, end: Milliseconds): void {
+		this.#othersFirst.set(object, end);
+	}
+
 	onSent(running: Running): void {
 		this.running.add(running);
+		this.usedAt = running.sentAt;
 	}
 
 	onAnswered(running: Running, object: number, now: Milliseconds): void {
--- a/packages/steering/src/work-times.ts
+++ b/packages/steering/src/work-times.ts
@@ -7,6 +7,8 @@
 const firstWarmPart = 0.5;
 /** Until answers are seen, work on an unknown object takes so many objectives. */
 const firstColdPart = 1.5;
+/** A guess must not let a request seem hopeless: this part of the time-out at most. */
+const longestGuess = 0.5;
 
 type Times = {warm: Milliseconds; cold: Milliseconds};
 
@@ -20,8 +22,8 @@
 	get(route: SteeringRoute): Readonly<Times> {
 		return (
 			this.#times.get(route.name) ?? {
-				warm: route.latencyObjectiveMs * firstWarmPart,
-				cold: route.latencyObjectiveMs * firstColdPart,
+				warm: computeGuess(route, firstWarmPart),
+				cold: computeGuess(route, firstColdPart),
 			}
 		);
 	}
@@ -35,3 +37,10 @@
 		this.#times.set(route.name, times);
 	}
 }
+
+function computeGuess(
+	{latencyObjectiveMs, timeoutMs}: SteeringRoute,
+	part: number,
+): Milliseconds {
+	return Math.min(latencyObjectiveMs * part, timeoutMs * longestGuess);
+}
