Find a reset that Node reports as an orderly end

Shown on a plain Linux socket, too: after such an end the socket has no peer address, after an orderly one it has. Ruled out: the parser (content-length and chunks are judged right).

--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -199,7 +199,11 @@
 	}
 
 	#onEnd(): void {
-		const isWhole = this.#reader.end();
+		// Node reports a reset that comes with data as an orderly end; a reset
+		// connection has no peer any more. The address must not be read before:
+		// Node remembers it.
+		const isReset = this.#socket.remoteAddress === undefined;
+		const isWhole = !isReset && this.#reader.end();
 		this.#isReusable = false;
 		if (isWhole && this.#hasEnded) {
 			this.#complete();
