Spend a full pool's slots on objects that servers know

Ruled out: too little room (the demand is 42 of 96 slots when objects are known). A slot counts more as the pool fills; an unknown object needs a free slot and time; a known server may have a queue as long as the objective is met; only work that did not queue teaches the work times.

--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -6,6 +6,7 @@
 import type {SteeringAttemptEnded} from './event.js';
 import type {Limits} from './limits.js';
 import type {SteeringRoute} from './model.js';
+import {PoolPressure} from './pool-pressure.js';
 import type {Running, ServerState} from './server-state.js';
 import {WorkTimes} from './work-times.js';
 
@@ -14,15 +15,26 @@
  * late, and a slot should not stand empty for that time.
  */
 const waitingAtServer = 1;
-/** Servers of each region that are weighed first, in the object's order. */
-const weighedOfRegion = 6;
-/** How likely a server knows an object that no host is known to have sent there. */
-const knownByRank = [0.3];
+/** Servers of each region that are weighed though none of them knows the object, in the object's order. */
+const weighedOfRegion = 4;
+/** How likely a server knows an object that no host is known to have sent there: the first in its order, and others. */
+const knownAsFirst = 0.3;
 const knownOtherwise = 0.05;
 /** How likely it still knows one that was lately sent there. */
-/** Work takes a slot from others, too: it counts so much more than waiting does. */
-const slotWeight = 0.7;
 const knownBySending = 0.95;
+/**
+ * Work takes a slot from others: in an idle pool it counts so much more than
+ * waiting does, and as the pool fills it counts more, so that a full pool
+ * spends its slots on objects that are known.
+ */
+const idleSlotWeight = 0.5;
+const fullSlotWeight = 3.5;
+/** Below this part of the slots in use, the pool counts as idle. */
+const idlePressure = 0.5;
+/** Work of an unknown object varies: so much of it must fit before the deadline. */
+const unknownMargin = 1.25;
+/** A known server may have a queue, if the answer still meets this part of the objective. */
+const queuedPart = 0.9;
 /** A server without work for this long gets the next request that prefers it. */
 const unusedTime: Milliseconds = 1500;
 /** A server that failed last is weighed as if it took so much longer. */
@@ -48,6 +60,9 @@
 	readonly running: Running;
 	readonly objectHash: number;
 	readonly isWarm: boolean;
+	/** Whether it was to wait for a slot. */
+	readonly hasQueued: boolean;
+	readonly way: Milliseconds;
 	readonly load: number;
 	readonly candidates: number;
 	readonly expected: Milliseconds;
@@ -71,7 +86,10 @@
 	readonly time: Milliseconds;
 	/** The time, and what the work takes from others. */
 	readonly cost: Milliseconds;
+	readonly way: Milliseconds;
+	readonly wait: Milliseconds;
 	readonly work: Milliseconds;
+	readonly isKnown: boolean;
 	readonly load: number;
 };
 
@@ -84,6 +102,7 @@
 	readonly #beliefs: Beliefs;
 	readonly #limits: Limits;
 	readonly #delays: Delays;
+	readonly #pressure = new PoolPressure();
 	readonly #handled: Array<{
 		readonly server: string;
 		readonly objectHash: number;
@@ -112,7 +131,6 @@
 
 		const best =
 			this.#findUnused(usable, request, now) ??
-			this.#findBest(toFirstOfRegions(usable), request, now) ??
 			this.#findBest(usable, request, now);
 		if (best === undefined) {
 			return Result.err({kind: ErrorKind.NoRoom, knownIn: undefined});
@@ -149,7 +167,11 @@
 
 		state.onAnswered(running, objectHash, now);
 		this.#handled.push({server: state.server.id, objectHash, at: now});
-		this.times.observe(route, place.isWarm, now - running.sentAt);
+		if (!place.hasQueued) {
+			const work = now - running.sentAt - place.way;
+			this.times.observe(route, place.isWarm, Math.max(1, work));
+		}
+
 		return false;
 	}
 
@@ -199,20 +221,21 @@
 		request: PlaceRequest,
 		now: Milliseconds,
 	): Weighed | undefined {
+		const pool = this.#beliefs.fleet.findPool(request.service);
+		const pressure = this.#pressure.compute(request.service, pool, now);
 		const ranks = new Map<string, number>();
 		let best: Weighed | undefined;
 		for (const state of states) {
-			const {region, slots} = state.server;
+			const {region} = state.server;
 			const rank = ranks.get(region) ?? 0;
 			ranks.set(region, rank + 1);
-			const load = state.computeLoad(now);
-			if (load >= slots + waitingAtServer) {
+			if (rank >= weighedOfRegion && !state.hasHandled(request.objectHash)) {
 				continue;
 			}
 
-			const weighed = this.#weigh(state, request, {rank, load}, now);
-			const canEnd = now + weighed.time < request.deadline;
-			if (canEnd && (best === undefined || weighed.cost < best.cost)) {
+			const weighed = this.#weigh(state, request, {rank, pressure}, now);
+			const isBetter = best === undefined || weighed.cost < best.cost;
+			if (isBetter && hasRoom(weighed, request, now)) {
 				best = weighed;
 			}
 		}
@@ -223,7 +246,7 @@
 	#weigh(
 		state: ServerState,
 		{route, objectHash, bodyBytes}: PlaceRequest,
-		{rank, load}: {readonly rank: number; readonly load: number},
+		{rank, pressure}: {readonly rank: number; readonly pressure: number},
 		now: Milliseconds,
 	): Weighed {
 		const {warm, cold} = this.times.get(route);
@@ -231,36 +254,49 @@
 		const knownIn = isKnown
 			? undefined
 			: state.findFirstWork(objectHash, now);
-		const known =
+		const chance =
 			isKnown || knownIn !== undefined
 				? knownBySending
-				: (knownByRank[rank] ?? knownOtherwise);
-		const work = known * warm + (1 - known) * cold;
+				: rank === 0
+					? knownAsFirst
+					: knownOtherwise;
+		const work = chance * warm + (1 - chance) * cold;
 		const {slots} = state.server;
-		const wait = (Math.max(0, load - slots + 1) * work) / slots;
+		const load = state.computeLoad(now);
+		const wait = (Math.max(0, load - slots + 1) * warm) / slots;
 		const slowness =
 			state.computeSlowness(now) * (state.isSuspect ? suspectFactor : 1);
 		const way = this.#delays.compute(state.server, bodyBytes);
 		const time = way + (knownIn ?? 0) + (wait + work) * slowness;
-		const cost = time + work * slotWeight * slowness;
-		return {state, load, work, time, cost, knownIn};
+		const cost = time + work * slowness * toSlotWeight(pressure);
+		return {state, load, way, wait, work, isKnown, knownIn, time, cost};
 	}
 
 	#take(
-		{state, work, load, cost}: Weighed,
+		{state, way, wait, work, load, isKnown}: Weighed,
 		{objectHash}: PlaceRequest,
 		candidates: number,
 		now: Milliseconds,
 	): Place {
-		const isWarm = state.hasHandled(objectHash);
-		const running = {sentAt: now, expected: work, objectHash};
+		const expected = way + wait + work;
+		const running = {sentAt: now, expected, objectHash};
 		state.onSent(running);
 		if (state.isCold(now)) {
 			const rate = this.#getColdRate(state);
 			this.#limits.cold.take(state.server.id, rate, now);
 		}
 
-		return {state, running, objectHash, isWarm, load, candidates, expected: work};
+		return {
+			state,
+			running,
+			objectHash,
+			isWarm: isKnown,
+			hasQueued: wait > 0,
+			way,
+			load,
+			candidates,
+			expected,
+		};
 	}
 
 	#getColdRate({server}: ServerState): number {
@@ -271,12 +307,24 @@
 
 export const placerKey = createServiceKey<Placer>('placer');
 
-/** The first servers of each region, in the given order. */
-function toFirstOfRegions(states: readonly ServerState[]): ServerState[] {
-	const counts = new Map<string, number>();
-	return states.filter(({server}) => {
-		const count = counts.get(server.region) ?? 0;
-		counts.set(server.region, count + 1);
-		return count < weighedOfRegion;
-	});
+/** Whether a request can go there now and end before its deadline. */
+function hasRoom(
+	{state, load, work, time, isKnown, knownIn}: Weighed,
+	{deadline, route}: PlaceRequest,
+	now: Milliseconds,
+): boolean {
+	const {slots} = state.server;
+	if (isKnown || knownIn !== undefined) {
+		const isInTime = time <= route.latencyObjectiveMs * queuedPart;
+		const isFree = load < slots + waitingAtServer;
+		return (isFree || isInTime) && now + time < deadline;
+	}
+
+	const margin = work * (unknownMargin - 1);
+	return load < slots && now + time + margin < deadline;
+}
+
+function toSlotWeight(pressure: number): number {
+	const fullness = Math.max(0, pressure - idlePressure) / (1 - idlePressure);
+	return idleSlotWeight + fullness * (fullSlotWeight - idleSlotWeight);
 }
