--- a/packages/daemon/src/administration-server.ts
+++ b/packages/daemon/src/administration-server.ts
@@ -16,8 +16,8 @@
 	type VersionedConfiguration,
 } from '@parsleyvale/shared';
 import type {KernelEvent} from '@parsleyvale/kernel';
-import {runListener} from './listen.js';
 import {type Metrics} from '@parsleyvale/telemetry';
+import {runListener} from './listen.js';
 import type {OperatorAnswers, OperatorResult} from './operator-answers.js';
 
 const maximumBodyBytes = 16 * 1024 * 1024;
--- a/packages/daemon/src/caller-header.ts
+++ b/packages/daemon/src/caller-header.ts
@@ -1,5 +1,9 @@
 import {Result} from 'true-myth';
-import {connectionHeaders, ErrorKind, type Milliseconds} from '@parsleyvale/shared';
+import {
+	connectionHeaders,
+	ErrorKind,
+	type Milliseconds,
+} from '@parsleyvale/shared';
 import {hasKeyText} from './key-text.js';
 import {parseTarget, type RequestTarget} from './request-target.js';
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,12 +29,12 @@
 	type Settings,
 	type VersionedConfiguration,
 } from '@parsleyvale/shared';
+import {Metrics} from '@parsleyvale/telemetry';
 import {
 	createAdministrationServer,
 	type AdministrationServer,
 } from './administration-server.js';
 import {createCallerServer, type CallerServer} from './caller-server.js';
-import {Metrics} from '@parsleyvale/telemetry';
 import {toLookUpAnswer} from './look-up-answer.js';
 import {OperatorAnswers} from './operator-answers.js';
 import {ServerConnections} from './server-connections.js';
--- a/packages/entry/src/answer-reader.ts
+++ b/packages/entry/src/answer-reader.ts
@@ -36,6 +36,7 @@
 		this.#parser.onBody = (chunk, offset, length) => {
 			this.#listener.onBody(chunk.subarray(offset, offset + length));
 		};
+
 		this.#parser.onMessageComplete = () => {
 			if (!this.#isInterim) {
 				this.#listener.onEnd();
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -100,7 +100,7 @@
 				this.handle({type: 'digest-received', digest});
 			},
 			getCopy: () => this.#getCopy(),
-			onProblem: (message, reason) => {
+			onProblem(message, reason) {
 				options.log.log('failure', message, {reason});
 			},
 		});
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -50,6 +50,7 @@
 		number,
 		{readonly attempt: Attempt; readonly connection: ServerConnection}
 	>();
+
 	#isBodyPassed = false;
 
 	constructor(options: ExchangeOptions) {
@@ -57,7 +58,13 @@
 		this.#options = options;
 	}
 
-	forward({attempt: number, server, customer, deadline, isIdempotent}: Forward): void {
+	forward({
+		attempt: number,
+		server,
+		customer,
+		deadline,
+		isIdempotent,
+	}: Forward): void {
 		const {caller, names, connections, clock, body, isLongBody} = this.#options;
 		const attempt = new Attempt({
 			number,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,7 @@
 export {toKeyHash} from './caller-request.js';
-export {createEntryHost, EntryHost, type EntryHostOptions} from './entry-host.js';
+export {
+	createEntryHost,
+	EntryHost,
+	type EntryHostOptions,
+} from './entry-host.js';
 export type {WireNames} from './wire-names.js';
--- a/packages/entry/src/peer-link.ts
+++ b/packages/entry/src/peer-link.ts
@@ -87,7 +87,10 @@
 	}
 
 	/** Gets another host's copy; undefined when none came. */
-	async fetchCopy(address: string, port: number): Promise<FleetCopy | undefined> {
+	async fetchCopy(
+		address: string,
+		port: number,
+	): Promise<FleetCopy | undefined> {
 		const text = await this.#get(address, port);
 		if (text === undefined) {
 			return undefined;
--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -1,7 +1,11 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
-import {AnswerListener, AnswerReader, type AnswerHead} from './answer-reader.js';
+import {
+	AnswerListener,
+	AnswerReader,
+	type AnswerHead,
+} from './answer-reader.js';
 
 /** One request on its way to a backend server. */
 export abstract class ServerExchange {
--- a/packages/entry/src/server-connections.ts
+++ b/packages/entry/src/server-connections.ts
@@ -52,10 +52,9 @@
 
 	/** Closes kept connections that were last used before then. */
 	closeOlder(server: BackendServer, then: Milliseconds): void {
-		for (const connection of [...(this.#idle.get(toKey(server)) ?? [])]) {
-			if (connection.usedAt < then) {
-				connection.close();
-			}
+		const idle = this.#idle.get(toKey(server)) ?? [];
+		for (const connection of idle.filter(({usedAt}) => usedAt < then)) {
+			connection.close();
 		}
 	}
 
--- a/packages/steering/src/beliefs-plugin.ts
+++ b/packages/steering/src/beliefs-plugin.ts
@@ -194,7 +194,8 @@
 			storeAnsweredAt === undefined ||
 			now - storeAnsweredAt > longestStoreSilence;
 		const source = members.listLive(now).find(({digest, heardAt}) => {
-			const isNewer = (digest?.configurationVersion ?? -1) > configuration.version;
+			const isNewer =
+				(digest?.configurationVersion ?? -1) > configuration.version;
 			const storeAge = digest?.storeAgeMs ?? Number.POSITIVE_INFINITY;
 			const isInTouch = storeAge + (now - heardAt!) < longestStoreSilence;
 			return isNewer || (isStoreSilent && isInTouch);
--- a/packages/steering/src/beliefs.ts
+++ b/packages/steering/src/beliefs.ts
@@ -15,10 +15,8 @@
 	storeAnsweredAt: Milliseconds | undefined;
 	/** When the store answered again after it had not. */
 	storeRegainedAt: Milliseconds = Number.NEGATIVE_INFINITY;
-	readonly settings: SteeringSettings;
 
-	constructor(settings: SteeringSettings) {
-		this.settings = settings;
+	constructor(readonly settings: SteeringSettings) {
 		this.members = new Members(settings.self.name);
 	}
 
--- a/packages/steering/src/cold-pacer.ts
+++ b/packages/steering/src/cold-pacer.ts
@@ -42,11 +42,7 @@
 			.every(({host}) => computeHash(`${serverId}/${host.name}`) < own);
 	}
 
-	#refill(
-		serverId: string,
-		ratePerSecond: number,
-		now: Milliseconds,
-	): Pace {
+	#refill(serverId: string, ratePerSecond: number, now: Milliseconds): Pace {
 		const pace = this.#paces.get(serverId) ?? {tokens: 1, refilledAt: now};
 		const refill = (ratePerSecond * (now - pace.refilledAt)) / second;
 		pace.tokens = Math.min(longestBurst, pace.tokens + refill);
--- a/packages/steering/src/configuration-state.ts
+++ b/packages/steering/src/configuration-state.ts
@@ -64,7 +64,7 @@
 	}
 
 	findRoute(hostName: string, path: string): SteeringRoute | undefined {
-		return this.#routes.find(hostName, path);
+		return this.#routes.findRoute(hostName, path);
 	}
 
 	findService(name: string): Service | undefined {
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -41,7 +41,10 @@
 	}
 
 	/** Takes a token; the time until there is one again when there is none. */
-	take(customer: SteeringCustomer, now: Milliseconds): Milliseconds | undefined {
+	take(
+		customer: SteeringCustomer,
+		now: Milliseconds,
+	): Milliseconds | undefined {
 		if (customer.ratePerSecond === 0) {
 			return undefined;
 		}
@@ -49,7 +52,10 @@
 		const share = this.#computeShare(customer, now);
 		const bucket = this.#refill(customer, share, now);
 		bucket.demand += second / demandSpan;
-		if (bucket.tokens >= 1 - this.#computeOverdraft(customer, {bucket, share}, now)) {
+		if (
+			bucket.tokens >=
+			1 - this.#computeOverdraft(customer, {bucket, share}, now)
+		) {
 			bucket.tokens -= 1;
 			return undefined;
 		}
--- a/packages/steering/src/effect.ts
+++ b/packages/steering/src/effect.ts
@@ -44,7 +44,9 @@
 	  }
 	| {
 			readonly type: 'send-digest';
-			readonly to: ReadonlyArray<Pick<SteeringHost, 'peerAddress' | 'peerPort'>>;
+			readonly to: ReadonlyArray<
+				Pick<SteeringHost, 'peerAddress' | 'peerPort'>
+			>;
 			readonly digest: Digest;
 	  }
 	/** Another host knows something newer: get its copy. */
--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -151,10 +151,7 @@
 		}
 	}
 
-	#markMissing(
-		servers: readonly BackendServer[],
-		until: Milliseconds,
-	): void {
+	#markMissing(servers: readonly BackendServer[], until: Milliseconds): void {
 		const present = new Set(servers.map(({id}) => id));
 		for (const [id, state] of this.#states) {
 			state.missingUntil = present.has(id)
--- a/packages/steering/src/hash.ts
+++ b/packages/steering/src/hash.ts
@@ -1,6 +1,6 @@
-import MurmurHash3 from 'imurmurhash';
+import createMurmurHash from 'imurmurhash';
 
 /** A 32-bit hash that is the same on all hosts. */
 export function computeHash(text: string): number {
-	return MurmurHash3(text).result();
+	return createMurmurHash(text).result();
 }
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -35,8 +35,7 @@
 		const listed = new Set(hosts.map(({name}) => name));
 		for (const host of hosts) {
 			const known = this.#members.get(host.name);
-			const isNewer =
-				known === undefined || known.host.incarnation !== host.incarnation;
+			const isNewer = known?.host.incarnation !== host.incarnation;
 			if (host.name !== this.#self && isNewer) {
 				this.#members.set(host.name, {
 					host,
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -109,7 +109,6 @@
 		readonly at: Milliseconds;
 	}> = [];
 
-
 	constructor(beliefs: Beliefs, limits: Limits) {
 		this.#beliefs = beliefs;
 		this.#limits = limits;
@@ -121,7 +120,9 @@
 		request: PlaceRequest,
 		now: Milliseconds,
 	): Result<Place, PlaceProblem> {
-		const order = this.#beliefs.fleet.findPool(request.service)?.rank(request.object);
+		const order = this.#beliefs.fleet
+			.findPool(request.service)
+			?.rank(request.object);
 		const usable = (order ?? []).filter((state) =>
 			this.#isAllowed(state, request, now),
 		);
@@ -251,9 +252,7 @@
 	): Weighed {
 		const {warm, cold} = this.times.get(route);
 		const isKnown = state.hasHandled(objectHash);
-		const knownIn = isKnown
-			? undefined
-			: state.findFirstWork(objectHash, now);
+		const knownIn = isKnown ? undefined : state.findFirstWork(objectHash, now);
 		const chance =
 			isKnown || knownIn !== undefined
 				? knownBySending
--- a/packages/steering/src/request-life.ts
+++ b/packages/steering/src/request-life.ts
@@ -146,7 +146,8 @@
 	}
 
 	#serve(service: string, context: SteeringContext): void {
-		for (const request of [...this.#waiting.list(service)]) {
+		// Those that find room leave the list meanwhile.
+		for (const request of this.#waiting.list(service)) {
 			this.#tryPlace(request, context);
 		}
 	}
@@ -225,10 +226,14 @@
 		if (outcome === 'answered') {
 			const isFailure = status >= 500;
 			request.runs += 1;
-			if (isHeld && isFailure && isRepeatable && this.#canRunAgain(request)) {
-				if (this.#repeat(request, context)) {
-					return;
-				}
+			if (
+				isHeld &&
+				isFailure &&
+				isRepeatable &&
+				this.#canRunAgain(request) &&
+				this.#repeat(request, context)
+			) {
+				return;
 			}
 
 			this.#deliver(request, ended, context);
@@ -264,10 +269,7 @@
 		return route.isIdempotent && runs < route.maximumAttempts;
 	}
 
-	#repeat(
-		request: LiveRequest,
-		context: SteeringContext,
-	): boolean {
+	#repeat(request: LiveRequest, context: SteeringContext): boolean {
 		return (
 			this.#takeRepeat(request, context.now) &&
 			this.#tryPlace(request, context) === undefined
--- a/packages/steering/src/route-table.ts
+++ b/packages/steering/src/route-table.ts
@@ -16,7 +16,7 @@
 		}
 	}
 
-	find(hostName: string, path: string): SteeringRoute | undefined {
+	findRoute(hostName: string, path: string): SteeringRoute | undefined {
 		return this.#routes
 			.get(hostName.toLowerCase())
 			?.find((route) => path.startsWith(route.pathPrefix));
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -26,8 +26,10 @@
 
 /** What this host has seen and heard of one backend server. */
 export class ServerState {
-	server: BackendServer;
 	coldUntil: Milliseconds;
+	readonly running = new Set<Running>();
+	/** When it was last known to have work. */
+	usedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	isEvacuated = false;
 	/** Until when its missing entry may come back; undefined: it is listed. */
 	missingUntil: Milliseconds | undefined;
@@ -35,9 +37,6 @@
 	othersInFlight = 0;
 	/** When work of other hosts on objects that are new there should end. */
 	readonly #othersFirst = new Map<number, Milliseconds>();
-	readonly running = new Set<Running>();
-	/** When it was last known to have work. */
-	usedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	/** Work of this server against that of others: above 1 it is slower. */
 	#slowness = 1;
 	#failures = 0;
@@ -48,16 +47,16 @@
 	/** Hashes of the objects that it handled last, the latest at the end. */
 	readonly #objects = new Set<number>();
 
-	constructor(server: BackendServer, now: Milliseconds) {
-		this.server = server;
+	constructor(
+		public server: BackendServer,
+		now: Milliseconds,
+	) {
 		this.coldUntil = now + server.coldRemainingMs;
 	}
 
 	/** Whether the server may be chosen at all. */
 	isUsable(now: Milliseconds): boolean {
-		return (
-			!this.server.isDraining && !this.isEvacuated && !this.isEjected(now)
-		);
+		return !this.server.isDraining && !this.isEvacuated && !this.isEjected(now);
 	}
 
 	/** After its pause, an ejected server gets one request at a time. */
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -1,4 +1,10 @@
-import {Counter, Gauge, Histogram, Registry, collectDefaultMetrics} from 'prom-client';
+import {
+	Counter,
+	Gauge,
+	Histogram,
+	Registry,
+	collectDefaultMetrics,
+} from 'prom-client';
 import type {Count, Labels, Observe} from '@parsleyvale/kernel';
 
 const latencyBuckets = [
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,14 @@
 /** @type {import('xo').FlatXoConfig} */
 const configuration = [
-	{ignores: ['**/dist/**', '**/generated/**', 'golden/**']},
+	{
+		ignores: [
+			'**/dist/**',
+			'target/**',
+			'journal/**',
+			'**/generated/**',
+			'golden/**',
+		],
+	},
 	{
 		prettier: 'compat',
 		rules: {
@@ -15,6 +23,13 @@
 			'no-warning-comments': 'error',
 		},
 	},
+	{
+		files: ['platform/src/*.ts'],
+		rules: {
+			// The platform's messages spell their fields in their own way.
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 	{
 		files: ['**/__tests__/**/*.ts'],
 		rules: {
