Let one host a server decide whether it learns an object that others know

Cause: in a full pool all hosts sent unknown objects to the same free slots, which they see 100 to 500 ms late; the work then queued past its deadline.

--- a/packages/steering/src/cold-pacer.ts
+++ b/packages/steering/src/cold-pacer.ts
@@ -1,6 +1,5 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
-import {computeHash} from './hash.js';
-import type {Members} from './members.js';
+import type {ServerOwners} from './server-owners.js';
 
 type Pace = {tokens: number; refilledAt: Milliseconds};
 
@@ -12,19 +11,17 @@
  * sends to a cold server; the others leave it alone until it is warm.
  */
 export class ColdPacer {
-	readonly #self: string;
-	readonly #members: Members;
+	readonly #owners: ServerOwners;
 	readonly #paces = new Map<string, Pace>();
 
-	constructor(self: string, members: Members) {
-		this.#self = self;
-		this.#members = members;
+	constructor(owners: ServerOwners) {
+		this.#owners = owners;
 	}
 
 	/** Whether a request may go to the cold server now. */
 	hasRoom(serverId: string, ratePerSecond: number, now: Milliseconds): boolean {
 		return (
-			this.#isOwner(serverId, now) &&
+			this.#owners.isOwner(serverId, now) &&
 			this.#refill(serverId, ratePerSecond, now).tokens >= 1
 		);
 	}
@@ -34,14 +31,6 @@
 		this.#refill(serverId, ratePerSecond, now).tokens -= 1;
 	}
 
-	#isOwner(serverId: string, now: Milliseconds): boolean {
-		const own = computeHash(`${serverId}/${this.#self}`);
-		return this.#members
-			.listLive(now)
-			.filter(({digest}) => digest?.isReady === true)
-			.every(({host}) => computeHash(`${serverId}/${host.name}`) < own);
-	}
-
 	#refill(serverId: string, ratePerSecond: number, now: Milliseconds): Pace {
 		const pace = this.#paces.get(serverId) ?? {tokens: 1, refilledAt: now};
 		const refill = (ratePerSecond * (now - pace.refilledAt)) / second;
--- a/packages/steering/src/limits-plugin.ts
+++ b/packages/steering/src/limits-plugin.ts
@@ -6,6 +6,7 @@
 import type {SteeringEvent} from './event.js';
 import {limitsKey} from './limits.js';
 import {RepeatBudget} from './repeat-budget.js';
+import {ServerOwners} from './server-owners.js';
 import type {SteeringKernel} from './types.js';
 
 /** Provides the bounds on sums over all hosts. */
@@ -16,6 +17,7 @@
 
 	install(kernel: SteeringKernel): void {
 		const {members, settings} = kernel.inject(beliefsKey);
+		const owners = new ServerOwners(settings.self.name, members);
 		kernel.provide(limitsKey, {
 			rates: new CustomerRates({
 				members,
@@ -26,7 +28,8 @@
 				allowance: settings.repeatAllowance,
 				window: settings.repeatWindow,
 			}),
-			cold: new ColdPacer(settings.self.name, members),
+			cold: new ColdPacer(owners),
+			owners,
 		});
 	}
 }
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -31,6 +31,11 @@
 const fullSlotWeight = 3.5;
 /** Below this part of the slots in use, the pool counts as idle. */
 const idlePressure = 0.5;
+/**
+ * In a fuller pool, one host a server decides whether it learns an object that
+ * others know: free slots seen late by all hosts would be taken by all.
+ */
+const copyPressure = 0.7;
 /** Work of an unknown object varies: so much of it must fit before the deadline. */
 const unknownMargin = 1.25;
 /** A known server may have a queue, if the answer still meets this part of the objective. */
@@ -224,6 +229,13 @@
 	): Weighed | undefined {
 		const pool = this.#beliefs.fleet.findPool(request.service);
 		const pressure = this.#pressure.compute(request.service, pool, now);
+		const isKnownSomewhere = states.some((state) =>
+			state.hasHandled(request.objectHash),
+		);
+		const mayCopy = (state: ServerState) =>
+			!isKnownSomewhere ||
+			pressure < copyPressure ||
+			this.#limits.owners.isOwner(state.server.id, now);
 		const ranks = new Map<string, number>();
 		let best: Weighed | undefined;
 		for (const state of states) {
@@ -236,7 +248,8 @@
 
 			const weighed = this.#weigh(state, request, {rank, pressure}, now);
 			const isBetter = best === undefined || weighed.cost < best.cost;
-			if (isBetter && hasRoom(weighed, request, now)) {
+			const isAllowed = weighed.isKnown || mayCopy(state);
+			if (isBetter && isAllowed && hasRoom(weighed, request, now)) {
 				best = weighed;
 			}
 		}
