--- a/packages/steering/__tests__/support/configuration.ts
+++ b/packages/steering/__tests__/support/configuration.ts
@@ -45,9 +45,7 @@
 	return {
 		version: 1,
 		routes: [createRoute({})],
-		services: [
-			{name: 'desk', coldRatePerSecond: 3, maximumConnections: 300},
-		],
+		services: [{name: 'desk', coldRatePerSecond: 3, maximumConnections: 300}],
 		customers: [createCustomer({})],
 		limits: {
 			maximumHeaderBytes: 16_384,
--- a/packages/steering/__tests__/support/fleet-bench.ts
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -113,7 +113,11 @@
 		const {configuration} = this.#options;
 		for (const {kernel, isCut} of this.hosts) {
 			if (!isCut) {
-				this.handle(kernel, {type: 'configuration-read', configuration, age: 0});
+				this.handle(kernel, {
+					type: 'configuration-read',
+					configuration,
+					age: 0,
+				});
 				this.handle(kernel, {type: 'store-answered', age: 0});
 			}
 		}
@@ -316,11 +320,7 @@
 		return from === to ? localDelay : this.#options.regionDelay;
 	}
 
-	#end(
-		id: string,
-		result: string,
-		retryAfter: Milliseconds | undefined,
-	): void {
+	#end(id: string, result: string, retryAfter: Milliseconds | undefined): void {
 		const outcome = this.outcomes.get(id)!;
 		outcome.endedAt = this.clock.now();
 		outcome.result = result;
@@ -328,7 +328,13 @@
 	}
 
 	#createServers(): void {
-		const {regions, serversPerRegion, slots, service, kept = 24} = this.#options;
+		const {
+			regions,
+			serversPerRegion,
+			slots,
+			service,
+			kept = 24,
+		} = this.#options;
 		for (const [index, region] of regions.entries()) {
 			for (let count = 0; count < serversPerRegion[index]!; count++) {
 				const server: BackendServer = {
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -10,11 +10,6 @@
 import type {Running, ServerState} from './server-state.js';
 import {WorkTimes} from './work-times.js';
 
-/**
- * Requests that may wait at a server beyond its slots: others' loads are known
- * late, and a slot should not stand empty for that time.
- */
-const waitingAtServer = 1;
 /** Servers of each region that are weighed though none of them knows the object, in the object's order. */
 const weighedOfRegion = 4;
 /** How likely a server knows an object that no host is known to have sent there: the first in its order, and others. */
@@ -28,7 +23,7 @@
  * spends its slots on objects that are known.
  */
 const idleSlotWeight = 0.5;
-const fullSlotWeight = 3.5;
+const fullSlotWeight = 2;
 /** Below this part of the slots in use, the pool counts as idle. */
 const idlePressure = 0.5;
 /**
@@ -37,9 +32,7 @@
  */
 const copyPressure = 0.7;
 /** Work of an unknown object varies: so much of it must fit before the deadline. */
-const unknownMargin = 1.25;
-/** A known server may have a queue, if the answer still meets this part of the objective. */
-const queuedPart = 0.9;
+const unknownMargin = 1.4;
 /** A server without work for this long gets the next request that prefers it. */
 const unusedTime: Milliseconds = 1500;
 /** A server that failed last is weighed as if it took so much longer. */
@@ -327,8 +320,9 @@
 ): boolean {
 	const {slots} = state.server;
 	if (isKnown || knownIn !== undefined) {
-		const isInTime = time <= route.latencyObjectiveMs * queuedPart;
-		const isFree = load < slots + waitingAtServer;
+		// A queue at a server that knows the object is well if the answer is in time.
+		const isInTime = time <= route.latencyObjectiveMs;
+		const isFree = load < slots;
 		return (isFree || isInTime) && now + time < deadline;
 	}
 
