--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -73,6 +73,7 @@
 			homeRegions: mergeHomes(route.homeRegions, customer?.homeRegions ?? []),
 			object,
 			objectHash: computeHash(object),
+			objectiveAt: arrival.arrivedAt + route.latencyObjectiveMs,
 			deadline: arrival.arrivedAt + Math.min(route.timeoutMs, timeLeft),
 			priority: customer?.priority ?? route.priority,
 			tried: new Set(),
--- a/packages/steering/src/live-request.ts
+++ b/packages/steering/src/live-request.ts
@@ -13,6 +13,8 @@
 	/** Requests for the same one are best served by the same server. */
 	readonly object: string;
 	readonly objectHash: number;
+	/** When the answer should be there, and when it must be. */
+	readonly objectiveAt: Milliseconds;
 	readonly deadline: Milliseconds;
 	readonly priority: number;
 	/** Servers that it was sent to, or tried to be. */
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -47,6 +47,9 @@
 	/** Regions that may serve it; empty: all. */
 	readonly homeRegions: readonly string[];
 	readonly bodyBytes: number;
+	/** When the answer should be there. */
+	readonly objectiveAt: Milliseconds;
+	/** When it must be. */
 	readonly deadline: Milliseconds;
 	/** Servers that it went to before. */
 	readonly tried: ReadonlySet<string>;
@@ -315,13 +318,13 @@
 /** Whether a request can go there now and end before its deadline. */
 function hasRoom(
 	{state, load, work, time, isKnown, knownIn}: Weighed,
-	{deadline, route}: PlaceRequest,
+	{deadline, objectiveAt}: PlaceRequest,
 	now: Milliseconds,
 ): boolean {
 	const {slots} = state.server;
 	if (isKnown || knownIn !== undefined) {
 		// A queue at a server that knows the object is well if the answer is in time.
-		const isInTime = time <= route.latencyObjectiveMs;
+		const isInTime = now + time <= objectiveAt;
 		const isFree = load < slots;
 		return (isFree || isInTime) && now + time < deadline;
 	}
