--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -5,7 +5,11 @@
 import {expect} from 'earl';
 import {ServerConnections} from '../src/server-connections.js';
 import {ProbeExchange} from './support/probe-exchange.js';
-import {formatAnswer, RawServer, type RawRequest} from './support/raw-server.js';
+import {
+	formatAnswer,
+	RawServer,
+	type RawRequest,
+} from './support/raw-server.js';
 
 const closers: Array<() => void> = [];
 
--- a/packages/entry/__tests__/support/raw-server.ts
+++ b/packages/entry/__tests__/support/raw-server.ts
@@ -1,4 +1,9 @@
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+	createServer,
+	type AddressInfo,
+	type Server,
+	type Socket,
+} from 'node:net';
 
 export type RawRequest = {
 	readonly socket: Socket;
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -74,6 +74,7 @@
 	#lookUpCount = 0;
 	#ticker: NodeJS.Timeout | undefined;
 	#isStopping = false;
+	#isClosed = false;
 
 	constructor(options: EntryHostOptions) {
 		this.#options = options;
@@ -170,8 +171,13 @@
 		this.close();
 	}
 
-	/** Gives everything up at once. */
+	/** Gives everything up at once; closing again does nothing. */
 	close(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
 		clearInterval(this.#ticker);
 		this.#front.close();
 		this.#peers.close();
--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -94,6 +94,7 @@
 	}
 
 	close(): void {
+		this.#server.close();
 		this.#server.closeAllConnections();
 	}
 
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -11,8 +11,12 @@
 
 function listTestFiles() {
 	const only = process.argv.slice(2);
-	return readdirSync('packages')
-		.map((name) => path.resolve('packages', name, 'dist', '__tests__'))
+	return [
+		path.resolve('platform', 'dist', '__tests__'),
+		...readdirSync('packages').map((name) =>
+			path.resolve('packages', name, 'dist', '__tests__'),
+		),
+	]
 		.filter((folder) => existsSync(folder))
 		.flatMap((folder) =>
 			readdirSync(folder).map((name) => path.join(folder, name)),
