--- a/packages/entry/__tests__/support/probe-exchange.ts
+++ b/packages/entry/__tests__/support/probe-exchange.ts
@@ -36,7 +36,7 @@
 	}
 
 	override onAnswerEnd(): void {
-		const {status} = (this.#head!);
+		const {status} = this.#head!;
 		this.#end({kind: 'answered', status, body: this.#body});
 	}
 
--- a/packages/telemetry/__tests__/log-writer.test.ts
+++ b/packages/telemetry/__tests__/log-writer.test.ts
@@ -1,5 +1,6 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
+import process from 'node:process';
 import {PassThrough} from 'node:stream';
 import {describe, it} from 'node:test';
 import {createManualClock} from '@parsleyvale/shared';
