--- a/packages/ctl/src/ctl.ts
+++ b/packages/ctl/src/ctl.ts
@@ -3,6 +3,7 @@
 import {createApplyCommand} from './commands/apply.js';
 import {createCustomerCommand} from './commands/customer.js';
 import {createDrainCommand} from './commands/drain.js';
+import {createExplainCommand} from './commands/explain.js';
 import {createGetCommand} from './commands/get.js';
 import {createKeyCommand} from './commands/key.js';
 import {createRouteCommand} from './commands/route.js';
@@ -52,6 +53,7 @@
 			route: createRouteCommand(context),
 			shift: createShiftCommand(context),
 			drain: createDrainCommand(context),
+			explain: createExplainCommand(context),
 		},
 	});
 }
--- a/packages/entry/src/store-view.ts
+++ b/packages/entry/src/store-view.ts
@@ -67,12 +67,26 @@
 
 	/** Takes what the store, or another host, said. */
 	apply(event: SteeringEvent): void {
-		if (event.type === 'configuration-read') {
-			this.#applyConfiguration(event);
-		} else if (event.type === 'configuration-confirmed') {
-			this.#confirm(event.version, event.age);
-		} else if (event.type === 'fleet-listed') {
-			this.#applyFleet(event);
+		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check -- Other events tell nothing of the store.
+		switch (event.type) {
+			case 'configuration-read': {
+				this.#applyConfiguration(event);
+				break;
+			}
+
+			case 'configuration-confirmed': {
+				this.#confirm(event.version, event.age);
+				break;
+			}
+
+			case 'fleet-listed': {
+				this.#applyFleet(event);
+				break;
+			}
+
+			default: {
+				break;
+			}
 		}
 	}
 
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -117,10 +117,6 @@
 		);
 	}
 
-	#computeSilence(): Milliseconds {
-		return Math.max(silenceOfLeft, silenceForEachHost * this.#members.size);
-	}
-
 	/** Names of entries in the store that no host answers for. */
 	listGone(now: Milliseconds): readonly string[] {
 		return this.listKnown()
@@ -131,6 +127,10 @@
 			)
 			.map(({host}) => host.name);
 	}
+
+	#computeSilence(): Milliseconds {
+		return Math.max(silenceOfLeft, silenceForEachHost * this.#members.size);
+	}
 }
 
 function isHeard(
