--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -206,12 +206,17 @@
 			this.handle({...event, version: copy.version});
 		}
 
-		if (copy.revision > this.#view.revision) {
+		const isNewer =
+			copy.revision > this.#view.revision ||
+			copy.evacuationsRevision > this.#view.evacuationsRevision;
+		if (isNewer) {
+			const {revision: shown, evacuationsRevision, evacuated} = copy;
 			this.handle({
 				type: 'fleet-listed',
-				revision: copy.revision,
+				revision: shown,
 				servers: this.#view.merge(copy),
-				evacuated: copy.evacuated,
+				evacuationsRevision,
+				evacuated,
 			});
 		}
 	}
--- a/packages/entry/src/store-view.ts
+++ b/packages/entry/src/store-view.ts
@@ -16,12 +16,13 @@
 	configuration: steeringConfigurationSchema.optional(),
 	/** How long ago the version was known to be the newest; null: not known. */
 	configurationAgeMs: z.number().nullable(),
-	/** Revision that the servers and failure domains show. */
+	/** Revision that the servers show. */
 	revision: z.int(),
 	/** Servers that changed after the asking host's revision. */
 	changed: z.array(backendServerSchema),
 	/** Ids of all servers: others are gone. */
 	present: z.array(z.string()),
+	evacuationsRevision: z.int(),
 	evacuated: z.array(z.string()),
 });
 
@@ -36,6 +37,7 @@
 	#confirmedAt: Milliseconds | undefined;
 	#revision = -1;
 	#servers = new Map<string, Entry>();
+	#evacuationsRevision = -1;
 	#evacuated: readonly string[] = [];
 
 	constructor(clock: Clock) {
@@ -54,6 +56,10 @@
 		return this.#revision;
 	}
 
+	get evacuationsRevision(): number {
+		return this.#evacuationsRevision;
+	}
+
 	get serverCount(): number {
 		return this.#servers.size;
 	}
@@ -106,6 +112,7 @@
 				.filter((entry) => entry.revision > revision)
 				.map(({server}) => server),
 			present: [...this.#servers.keys()],
+			evacuationsRevision: this.#evacuationsRevision,
 			evacuated: [...this.#evacuated],
 		};
 	}
@@ -142,8 +149,14 @@
 	#applyFleet({
 		revision,
 		servers,
+		evacuationsRevision,
 		evacuated,
 	}: SteeringEventOf<'fleet-listed'>): void {
+		if (evacuationsRevision >= this.#evacuationsRevision) {
+			this.#evacuationsRevision = evacuationsRevision;
+			this.#evacuated = evacuated;
+		}
+
 		if (revision < this.#revision) {
 			return;
 		}
@@ -158,7 +171,6 @@
 			}),
 		);
 		this.#revision = revision;
-		this.#evacuated = evacuated;
 	}
 }
 
--- a/packages/steering/__tests__/beliefs.test.ts
+++ b/packages/steering/__tests__/beliefs.test.ts
@@ -113,11 +113,41 @@
 			type: 'fleet-listed',
 			revision: 3,
 			servers: [createServer({id: 'server-2'})],
+			evacuationsRevision: 3,
 			evacuated: ['east-a'],
 		});
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
 	});
 
+	it('drain though a list of failure domains was newer before', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		session.handle({
+			type: 'fleet-listed',
+			revision: 1,
+			servers: [createServer({})],
+			evacuationsRevision: 9,
+			evacuated: [],
+		});
+		session.list([createServer({isDraining: true})], 5);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('that changed elsewhere are fetched, whatever is newer here', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		session.list([createServer({})], 5);
+		for (const newer of [{fleetRevision: 6}, {evacuationsRevision: 6}]) {
+			const digest = createDigest({
+				...newer,
+				sequence: session.clock.now() + 1,
+			});
+			session.handle({type: 'digest-received', digest});
+			session.clock.advance(200);
+			expect(session.take('fetch-copy', {type: 'tick'}).length).toEqual(1);
+		}
+	});
+
 	it('are not taken from a list that is older', () => {
 		const session = new KernelSession();
 		session.begin([createServer({})]);
--- a/packages/steering/__tests__/support/fleet-bench.ts
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -119,6 +119,7 @@
 				type: 'fleet-listed',
 				revision,
 				servers: this.listed,
+				evacuationsRevision: revision,
 				evacuated: [],
 			});
 		}
--- a/packages/steering/__tests__/support/kernel-session.ts
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -55,6 +55,7 @@
 		configurationAgeMs: 0,
 		isStoreLost: false,
 		fleetRevision: 1,
+		evacuationsRevision: 1,
 		...values,
 	};
 }
@@ -108,6 +109,7 @@
 			type: 'fleet-listed',
 			revision,
 			servers,
+			evacuationsRevision: revision,
 			evacuated: [],
 		});
 	}
--- a/packages/steering/src/beliefs-plugin.ts
+++ b/packages/steering/src/beliefs-plugin.ts
@@ -114,16 +114,16 @@
 	}
 
 	#onFleet(
-		{revision, servers, evacuated}: SteeringEventOf<'fleet-listed'>,
+		list: SteeringEventOf<'fleet-listed'>,
 		context: SteeringContext,
 	): void {
 		const {fleet, storeRegainedAt} = this.#beliefs;
 		const changes = fleet.apply(
-			{revision, servers, evacuated},
+			list,
 			context.now,
 			storeRegainedAt + entriesReturnWithin,
 		);
-		this.#logChanges(changes, revision, context);
+		this.#logChanges(changes, list.revision, context);
 	}
 
 	#logChanges(
@@ -204,7 +204,8 @@
 				({digest}) =>
 					digest !== undefined &&
 					(digest.configurationVersion > configuration.version ||
-						digest.fleetRevision > fleet.revision),
+						digest.fleetRevision > fleet.revision ||
+						digest.evacuationsRevision > fleet.evacuationsRevision),
 			);
 		// A copy from the same region is nearer; any of them may have gone.
 		const near = newer.filter(({host}) => host.region === settings.self.region);
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -34,6 +34,7 @@
 	#lastClean: Milliseconds = 0;
 	#toldVersion = -1;
 	#toldRevision = -1;
+	#toldEvacuations = -1;
 
 	get name(): string {
 		return 'digest';
@@ -80,7 +81,8 @@
 		const {configuration, fleet} = this.#beliefs;
 		return (
 			configuration.version !== this.#toldVersion ||
-			fleet.revision !== this.#toldRevision
+			fleet.revision !== this.#toldRevision ||
+			fleet.evacuationsRevision !== this.#toldEvacuations
 		);
 	}
 
@@ -91,6 +93,7 @@
 			this.#lastInFleet = context.now;
 			this.#toldVersion = this.#beliefs.configuration.version;
 			this.#toldRevision = this.#beliefs.fleet.revision;
+			this.#toldEvacuations = this.#beliefs.fleet.evacuationsRevision;
 		}
 
 		const to = members
@@ -138,6 +141,7 @@
 			configurationAgeMs: Number.isFinite(age) ? Math.ceil(age) : null,
 			isStoreLost,
 			fleetRevision: fleet.revision,
+			evacuationsRevision: fleet.evacuationsRevision,
 			inFlight,
 			firstWork,
 			handled: this.#placer.listHandled(now - handledSpan),
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -25,6 +25,8 @@
 	isStoreLost: z.boolean(),
 	/** Revision of the store that the host's list of servers shows. */
 	fleetRevision: z.int(),
+	/** Revision that its evacuated failure domains show. */
+	evacuationsRevision: z.int(),
 	/** Requests that run at each backend server for the host. */
 	inFlight: z.record(z.string(), amountSchema).optional(),
 	/** Servers and hashes of the objects that they handled for the host of late. */
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -82,11 +82,13 @@
 	| {readonly type: 'store-answered'}
 	/** A call to the store failed. */
 	| {readonly type: 'store-failed'; readonly reason: string}
-	/** All servers and evacuated failure domains at a revision of the store. */
+	/** All servers at a revision of the store, and all evacuated failure domains. */
 	| {
 			readonly type: 'fleet-listed';
 			readonly revision: number;
 			readonly servers: readonly BackendServer[];
+			/** Revision that the evacuated failure domains show. */
+			readonly evacuationsRevision: number;
 			readonly evacuated: readonly string[];
 	  }
 	| {readonly type: 'hosts-listed'; readonly hosts: readonly SteeringHost[]}
--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -9,10 +9,12 @@
 	readonly change: 'joined' | 'left' | 'draining' | 'restarted';
 };
 
-/** Servers and evacuated failure domains at a revision of the store. */
+/** Servers and evacuated failure domains, each at a revision of the store. */
 export type FleetList = {
 	readonly revision: number;
 	readonly servers: readonly BackendServer[];
+	/** Revision of the list of evacuated failure domains: each kind has its own. */
+	readonly evacuationsRevision: number;
 	readonly evacuated: readonly string[];
 };
 
@@ -63,6 +65,8 @@
 /** All backend servers that this host knows. */
 export class Fleet {
 	#revision = -1;
+	#evacuationsRevision = -1;
+	#evacuated: ReadonlySet<string> = new Set();
 	readonly #states = new Map<string, ServerState>();
 	readonly #pools = new Map<string, ServicePool>();
 	/** For each other host, its requests that run at each server. */
@@ -73,40 +77,35 @@
 		return this.#revision;
 	}
 
+	/** The same for the evacuated failure domains. */
+	get evacuationsRevision(): number {
+		return this.#evacuationsRevision;
+	}
+
 	get states(): ReadonlyMap<string, ServerState> {
 		return this.#states;
 	}
 
 	/**
-	 * Puts a list in force, unless a newer one is; tells what changed. Servers
-	 * that it misses go, or stay until `keepMissingUntil` if that is ahead.
+	 * Puts lists in force, unless newer ones are; tells what changed. Servers
+	 * that they miss go, or stay until `keepMissingUntil` if that is ahead.
 	 */
 	apply(
-		{revision, servers, evacuated}: FleetList,
+		list: FleetList,
 		now: Milliseconds,
 		keepMissingUntil: Milliseconds,
 	): FleetChange[] {
-		if (revision < this.#revision) {
-			return [];
-		}
-
-		this.#revision = revision;
-		this.#markMissing(servers, keepMissingUntil);
-		const changes = this.#removeMissing(now);
-		for (const server of servers) {
-			const change = this.#update(server, now);
-			if (change !== undefined) {
-				changes.push({server, change});
-			}
+		const changes =
+			list.revision < this.#revision
+				? []
+				: this.#applyServers(list, now, keepMissingUntil);
+		if (list.evacuationsRevision >= this.#evacuationsRevision) {
+			this.#evacuationsRevision = list.evacuationsRevision;
+			this.#evacuated = new Set(list.evacuated);
 		}
 
-		const domains = new Set(evacuated);
 		for (const state of this.#states.values()) {
-			state.isEvacuated = domains.has(state.server.failureDomain);
-		}
-
-		if (changes.length > 0) {
-			this.#rebuildPools();
+			state.isEvacuated = this.#evacuated.has(state.server.failureDomain);
 		}
 
 		return changes;
@@ -151,6 +150,28 @@
 		}
 	}
 
+	#applyServers(
+		{revision, servers}: FleetList,
+		now: Milliseconds,
+		keepMissingUntil: Milliseconds,
+	): FleetChange[] {
+		this.#revision = revision;
+		this.#markMissing(servers, keepMissingUntil);
+		const changes = this.#removeMissing(now);
+		for (const server of servers) {
+			const change = this.#update(server, now);
+			if (change !== undefined) {
+				changes.push({server, change});
+			}
+		}
+
+		if (changes.length > 0) {
+			this.#rebuildPools();
+		}
+
+		return changes;
+	}
+
 	#markMissing(servers: readonly BackendServer[], until: Milliseconds): void {
 		const present = new Set(servers.map(({id}) => id));
 		for (const [id, state] of this.#states) {
