--- a/packages/steering/src/request-life.ts
+++ b/packages/steering/src/request-life.ts
@@ -480,6 +480,7 @@
 			requestId: arrival.requestId,
 			callerId: arrival.callerId,
 			outcome,
+			route: route.name,
 			attempts: attempt,
 			runs,
 			tookMs: Math.round(took),
