Split the life of a request; give a repeat back that found no place

Cause: an overdue request that no other server could take spent a repeat at every tick, 20 a second, so that none was left when a server came. The test fails without the return of the repeat. Waits and lines of a request have files of their own; no other decision changed.

--- a/packages/steering/__tests__/requests.test.ts
+++ b/packages/steering/__tests__/requests.test.ts
@@ -66,6 +66,22 @@
 		expect(listDecisions(effects)[0]!.startsWith('forward')).toEqual(true);
 	});
 
+	it('spends no repeat where no other server could take it', () => {
+		const session = new KernelSession();
+		const patient = createConfiguration({
+			routes: [createRoute({timeoutMs: 10_000})],
+		});
+		session.begin([createServer({})], patient);
+		session.send({timeLeft: 10_000});
+		// Overdue for longer than there are repeats in the whole allowance.
+		session.wait(5000);
+		session.list([createServer({}), createServer({id: 'server-2'})], 2);
+		expect(listDecisions(session.wait(100))).toEqual([
+			'forward server-2',
+			'cancel-attempt 1',
+		]);
+	});
+
 	it('is not called not run once a server may have run it', () => {
 		const session = new KernelSession();
 		session.begin(two);
--- a/packages/steering/src/repeat-budget.ts
+++ b/packages/steering/src/repeat-budget.ts
@@ -42,6 +42,14 @@
 		return true;
 	}
 
+	/** Gives a repeat back that was not sent. */
+	giveBack(service: string): void {
+		const account = this.#accounts.get(service);
+		if (account !== undefined) {
+			account.repeats += 1;
+		}
+	}
+
 	/** What a full account and a window's refill add up to stays below the allowance. */
 	#computeMost(hosts: number): number {
 		return (this.#options.allowance * usedPart) / 2 / hosts;
--- a/packages/steering/src/request-life.ts
+++ b/packages/steering/src/request-life.ts
@@ -6,27 +6,18 @@
 } from '@parsleyvale/shared';
 import {Admission} from './admission.js';
 import type {Beliefs} from './beliefs.js';
-import type {LogValue} from './effect.js';
 import type {SteeringArrival, SteeringAttemptEnded} from './event.js';
 import type {Limits} from './limits.js';
 import type {LiveRequest} from './live-request.js';
+import {Patience} from './patience.js';
 import type {Placer, PlaceProblem} from './placer.js';
+import {RequestLog} from './request-log.js';
 import {TrafficSplit} from './split.js';
 import type {SteeringContext} from './types.js';
 import {WaitingRoom} from './waiting-room.js';
 
 /** Servers that reject a request, or cannot be reached, before it is refused. */
 const mostTries = 4;
-/** A repeatable request is taken from a server that needs so many times what was expected. */
-const overdueFactor = 2.5;
-/** Work on an unknown object is not overdue before so many times its usual time. */
-const overdueColdFactor = 1.6;
-/** Callers that were refused for want of room come back within these times. */
-const shortestReturn: Milliseconds = 250;
-const longestReturn: Milliseconds = 900;
-/** Another host may serve the caller at once. */
-const otherHostReturn: Milliseconds = 50;
-
 export type RequestLifeOptions = {
 	readonly beliefs: Beliefs;
 	readonly limits: Limits;
@@ -39,10 +30,15 @@
 	readonly #requests = new Map<RequestId, LiveRequest>();
 	readonly #waiting = new WaitingRoom();
 	readonly #admission: Admission;
+	readonly #log: RequestLog;
+	readonly #patience: Patience;
 
 	constructor(options: RequestLifeOptions) {
 		this.#options = options;
-		this.#admission = new Admission(options.beliefs, new TrafficSplit());
+		const {beliefs, placer} = options;
+		this.#admission = new Admission(beliefs, new TrafficSplit());
+		this.#log = new RequestLog(beliefs);
+		this.#patience = new Patience(placer.times, beliefs.settings.random);
 	}
 
 	get isBusy(): boolean {
@@ -86,29 +82,7 @@
 			context.now,
 		);
 		this.#waiting.onServed(request.service, context.now);
-		const {id} = place.state.server;
-		context.emit({
-			type: 'log',
-			weight: ended.outcome === 'answered' ? 'request' : 'failure',
-			message: 'attempt ended',
-			fields: {
-				requestId: ended.requestId,
-				attempt: ended.attempt,
-				server: id,
-				outcome: ended.outcome,
-				status: ended.status,
-				tookMs: Math.round(context.now - place.running.sentAt),
-			},
-		});
-		if (isEjected) {
-			context.emit({
-				type: 'log',
-				weight: 'belief',
-				message: 'server ejected',
-				fields: {server: id, outcome: ended.outcome},
-			});
-		}
-
+		this.#log.onAttemptEnded(place, ended, isEjected, context);
 		this.#settle(request, ended, context);
 		this.#serve(request.service, context);
 	}
@@ -118,7 +92,7 @@
 		if (request !== undefined) {
 			this.#stopAttempt(request, context);
 			this.#remove(request);
-			this.#logEnd(request, ErrorKind.CallerGone, context);
+			this.#log.onEnded(request, ErrorKind.CallerGone, context);
 			this.#serve(request.service, context);
 		}
 	}
@@ -128,9 +102,9 @@
 		for (const request of this.#requests.values()) {
 			if (now >= request.deadline) {
 				this.#onDeadline(request, context);
-			} else if (this.#isOverdue(request, now)) {
+			} else if (this.#patience.isOverdue(request, now)) {
 				this.#moveOn(request, context);
-			} else if (this.#isUseless(request, now)) {
+			} else if (this.#patience.isUseless(request, now)) {
 				this.#refuse(request, ErrorKind.NoRoom, context);
 			}
 		}
@@ -176,7 +150,7 @@
 			knownIn !== undefined ||
 			(kind === ErrorKind.NoRoom &&
 				this.#waiting.computeWait(request, now) <=
-					this.#computePatience(request))
+					this.#patience.compute(request))
 		);
 	}
 
@@ -202,7 +176,7 @@
 		request.place = place;
 		request.attempt += 1;
 		tried.add(place.state.server.id);
-		this.#logForward(request, context);
+		this.#log.onPlaced(request, context);
 		request.waitingSince = undefined;
 		context.emit({
 			type: 'forward',
@@ -270,10 +244,16 @@
 	}
 
 	#repeat(request: LiveRequest, context: SteeringContext): boolean {
-		return (
-			this.#takeRepeat(request, context.now) &&
-			this.#tryPlace(request, context) === undefined
-		);
+		if (!this.#takeRepeat(request, context.now)) {
+			return false;
+		}
+
+		if (this.#tryPlace(request, context) === undefined) {
+			return true;
+		}
+
+		this.#options.limits.repeats.giveBack(request.service);
+		return false;
 	}
 
 	#takeRepeat({service}: LiveRequest, now: Milliseconds): boolean {
@@ -300,7 +280,7 @@
 		}
 
 		const outcome = (status ?? 0) < 500 ? 'answered' : 'failed at server';
-		this.#logEnd(request, outcome, context);
+		this.#log.onEnded(request, outcome, context);
 	}
 
 	#onDeadline(request: LiveRequest, context: SteeringContext): void {
@@ -314,35 +294,15 @@
 		this.#refuse(request, kind, context);
 	}
 
-	/** Whether a repeatable request should leave a server that takes too long. */
-	#isOverdue(
-		{route, place, runs, deadline}: LiveRequest,
-		now: Milliseconds,
-	): boolean {
-		if (place === undefined || !route.isIdempotent) {
-			return false;
-		}
-
-		const {warm, cold} = this.#options.placer.times.get(route);
-		const patience = Math.max(
-			place.expected * overdueFactor,
-			cold * overdueColdFactor,
-		);
-		const age = now - place.running.sentAt;
-		// The other server needs time, too.
-		const canEnd = deadline - now > warm * overdueFactor;
-		return canEnd && runs + 1 < route.maximumAttempts && age > patience;
-	}
-
 	/** Sends an overdue request to another server, if one has room. */
 	#moveOn(request: LiveRequest, context: SteeringContext): void {
 		const {place, attempt} = request;
-		if (place === undefined || !this.#takeRepeat(request, context.now)) {
+		if (place === undefined) {
 			return;
 		}
 
 		request.place = undefined;
-		if (this.#tryPlace(request, context) === undefined) {
+		if (this.#repeat(request, context)) {
 			request.runs += 1;
 			place.state.onFailed(place.running, context.now);
 			const {requestId} = request.arrival;
@@ -352,21 +312,6 @@
 		}
 	}
 
-	/** Longest wait after which an answer still meets the objective. */
-	#computePatience({route}: LiveRequest): Milliseconds {
-		const {warm} = this.#options.placer.times.get(route);
-		return Math.max(
-			route.latencyObjectiveMs / 8,
-			route.latencyObjectiveMs - warm,
-		);
-	}
-
-	#isUseless(request: LiveRequest, now: Milliseconds): boolean {
-		const {waitingSince, knownAt} = request;
-		const begun = Math.max(waitingSince ?? now, knownAt ?? 0);
-		return now - begun > this.#computePatience(request);
-	}
-
 	#stopAttempt(request: LiveRequest, context: SteeringContext): void {
 		const {place, attempt, arrival} = request;
 		if (place !== undefined) {
@@ -394,9 +339,9 @@
 			type: 'refuse',
 			requestId: request.arrival.requestId,
 			kind: truth,
-			retryAfter: this.#toRetryAfter(truth),
+			retryAfter: this.#patience.toRetryAfter(truth),
 		});
-		this.#logEnd(request, truth, context);
+		this.#log.onEnded(request, truth, context);
 	}
 
 	#refuseArrival(
@@ -405,101 +350,14 @@
 		pause: Milliseconds | undefined,
 		context: SteeringContext,
 	): void {
-		const {beliefs} = this.#options;
 		const {requestId} = arrival;
-		const retryAfter = pause ?? this.#toRetryAfter(kind);
+		const retryAfter = pause ?? this.#patience.toRetryAfter(kind);
 		context.emit({type: 'refuse', requestId, kind, retryAfter});
-		const age = beliefs.configuration.computeAge(context.now);
-		context.emit({
-			type: 'log',
-			weight: 'failure',
-			message: 'request refused',
-			fields: {
-				requestId,
-				callerId: arrival.callerId,
-				kind,
-				version: beliefs.configuration.version,
-				ageMs: Number.isFinite(age) ? Math.round(age) : undefined,
-				retryAfterMs: retryAfter && Math.round(retryAfter),
-			},
-		});
-		context.emit({type: 'count', name: 'requests', labels: {outcome: kind}});
-	}
-
-	#toRetryAfter(kind: ErrorKind): Milliseconds | undefined {
-		const {retry} = getErrorAnswer(kind);
-		if (retry === 'other-host') {
-			return otherHostReturn;
-		}
-
-		const spread = this.#options.beliefs.settings.random();
-		return retry === 'after-delay'
-			? shortestReturn + spread * (longestReturn - shortestReturn)
-			: undefined;
+		this.#log.onRefusedArrival(arrival, kind, retryAfter, context);
 	}
 
 	#remove(request: LiveRequest): void {
 		this.#requests.delete(request.arrival.requestId);
 		this.#waiting.remove(request);
 	}
-
-	#logForward(request: LiveRequest, context: SteeringContext): void {
-		const {arrival, attempt, place, route, waitingSince} = request;
-		const {beliefs} = this.#options;
-		const {now} = context;
-		context.emit({
-			type: 'log',
-			weight: 'request',
-			message: 'request placed',
-			fields: {
-				requestId: arrival.requestId,
-				callerId: arrival.callerId,
-				attempt,
-				route: route.name,
-				customer: request.customer?.name,
-				server: place!.state.server.id,
-				candidates: place!.candidates,
-				load: Math.round(place!.load * 10) / 10,
-				isWarm: place!.isWarm,
-				objectHash: request.objectHash,
-				expectedMs: Math.round(place!.expected),
-				waitedMs: waitingSince && Math.round(now - waitingSince),
-				version: beliefs.configuration.version,
-			},
-		});
-	}
-
-	#logEnd(
-		request: LiveRequest,
-		outcome: string,
-		context: SteeringContext,
-	): void {
-		const {arrival, route, attempt, runs} = request;
-		const took = context.now - arrival.arrivedAt;
-		const fields: Record<string, LogValue> = {
-			requestId: arrival.requestId,
-			callerId: arrival.callerId,
-			outcome,
-			route: route.name,
-			attempts: attempt,
-			runs,
-			tookMs: Math.round(took),
-		};
-		context.emit({
-			type: 'log',
-			weight: outcome === 'answered' ? 'request' : 'failure',
-			message: 'request ended',
-			fields,
-		});
-		context.emit({type: 'count', name: 'requests', labels: {outcome}});
-		context.emit({
-			type: 'observe',
-			name: 'request_ms',
-			labels: {
-				customer: request.customer?.name ?? 'none',
-				priority: String(route.priority),
-			},
-			value: took,
-		});
-	}
 }
