--- a/packages/entry/src/front-server.ts
+++ b/packages/entry/src/front-server.ts
@@ -6,11 +6,7 @@
 	type ServerResponse,
 } from 'node:http';
 import {ErrorKind, type Clock, type Endpoint} from '@parsleyvale/shared';
-import type {
-	CallerLimits,
-	SteeringEffect,
-	SteeringEvent,
-} from '@parsleyvale/steering';
+import type {CallerLimits, SteeringEvent} from '@parsleyvale/steering';
 import {CallerBody} from './caller-body.js';
 import {CallerRequestReader} from './caller-request.js';
 import {Exchange, sendRefusal} from './exchange.js';
@@ -170,8 +166,3 @@
 		});
 	}
 }
-
-export type FrontEffect = Extract<
-	SteeringEffect,
-	{type: 'forward' | 'deliver' | 'refuse' | 'cancel-attempt'}
->;
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -33,7 +33,7 @@
 	demandAt: Milliseconds;
 	/** Tokens taken here in all, and those that the others have been told of. */
 	admitted: number;
-	told: number;
+	reported: number;
 	/** What others have said that they took. */
 	readonly others: Map<string, Count>;
 };
@@ -115,12 +115,17 @@
 	}
 
 	/** Whether others should hear at once of what was admitted here. */
-	hasNews(): boolean {
+	hasUnreported(): boolean {
 		const hosts = this.#options.members.listKnown().length + 1;
-		for (const {customer, tokens, admitted, told} of this.#buckets.values()) {
-			const untold = Math.max(1, (customer.burst * sharedPart) / hosts);
-			const isPressed = tokens < customer.burst * quietPart;
-			if (isPressed && admitted - told >= untold) {
+		for (const {
+			customer,
+			tokens,
+			admitted,
+			reported,
+		} of this.#buckets.values()) {
+			const unreported = Math.max(1, (customer.burst * sharedPart) / hosts);
+			const isLow = tokens < customer.burst * quietPart;
+			if (isLow && admitted - reported >= unreported) {
 				return true;
 			}
 		}
@@ -133,9 +138,9 @@
 		const described: Record<string, [number, number]> = {};
 		for (const [name, bucket] of this.#buckets) {
 			fadeDemand(bucket, now);
-			if (bucket.demand > leastDemand || bucket.told !== bucket.admitted) {
+			if (bucket.demand > leastDemand || bucket.reported !== bucket.admitted) {
 				described[name] = [toTenths(bucket.demand), bucket.admitted];
-				bucket.told = bucket.admitted;
+				bucket.reported = bucket.admitted;
 			}
 		}
 
@@ -178,7 +183,7 @@
 				demand: 0,
 				demandAt: now,
 				admitted: 0,
-				told: 0,
+				reported: 0,
 				others: new Map(),
 			}
 		);
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -14,11 +14,11 @@
 const fleetInterval: Milliseconds = 500;
 /** In a fleet of more hosts than this, each tells all less often, so that the sum grows with the hosts alone. */
 const fleetAtFullPace = 25;
-/** News that must not wait is told after this time at the earliest. */
-const newsInterval: Milliseconds = 50;
+/** What others must hear at once is sent after this time at the earliest. */
+const reportInterval: Milliseconds = 50;
 /** In a region of more hosts than this, each sends less often, so that the sum stays. */
 const hostsAtFullPace = 4;
-/** What servers handled is told for two digests to all hosts, so that one may be lost. */
+/** What servers handled is sent with two digests to all hosts, so that one may be lost. */
 const handledSpan: Milliseconds = 1000;
 /** Entries of hosts that are gone are looked for this often. */
 const cleanInterval: Milliseconds = 5000;
@@ -32,9 +32,9 @@
 	#lastInRegion: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastInFleet: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastClean: Milliseconds = 0;
-	#toldVersion = -1;
-	#toldRevision = -1;
-	#toldEvacuations = -1;
+	#reportedVersion = -1;
+	#reportedRevision = -1;
+	#reportedEvacuations = -1;
 
 	get name(): string {
 		return 'digest';
@@ -58,11 +58,11 @@
 		const {members, settings} = this.#beliefs;
 		const known = members.listKnown();
 		const sinceAll = now - this.#lastInFleet;
-		const isNewsDue =
-			sinceAll >= newsInterval &&
-			(this.#hasNews() || this.#limits.rates.hasNews());
+		const isReportDue =
+			sinceAll >= reportInterval &&
+			(this.#hasUnreported() || this.#limits.rates.hasUnreported());
 		const fleetPace = Math.max(1, known.length / fleetAtFullPace);
-		if (isNewsDue || sinceAll >= fleetInterval * fleetPace) {
+		if (isReportDue || sinceAll >= fleetInterval * fleetPace) {
 			this.#send(true, context);
 			return;
 		}
@@ -77,12 +77,12 @@
 	}
 
 	/** Whether this host has read something from the store that others have not heard of. */
-	#hasNews(): boolean {
+	#hasUnreported(): boolean {
 		const {configuration, fleet} = this.#beliefs;
 		return (
-			configuration.version !== this.#toldVersion ||
-			fleet.revision !== this.#toldRevision ||
-			fleet.evacuationsRevision !== this.#toldEvacuations
+			configuration.version !== this.#reportedVersion ||
+			fleet.revision !== this.#reportedRevision ||
+			fleet.evacuationsRevision !== this.#reportedEvacuations
 		);
 	}
 
@@ -91,9 +91,9 @@
 		this.#lastInRegion = context.now;
 		if (isToAll) {
 			this.#lastInFleet = context.now;
-			this.#toldVersion = this.#beliefs.configuration.version;
-			this.#toldRevision = this.#beliefs.fleet.revision;
-			this.#toldEvacuations = this.#beliefs.fleet.evacuationsRevision;
+			this.#reportedVersion = this.#beliefs.configuration.version;
+			this.#reportedRevision = this.#beliefs.fleet.revision;
+			this.#reportedEvacuations = this.#beliefs.fleet.evacuationsRevision;
 		}
 
 		const to = members
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -39,8 +39,9 @@
 			const known = this.#members.get(host.name);
 			const isHeardOf = known && isHeard(known, now, silenceOfLeft);
 			// An entry may be older than what the host said itself.
-			const isNews = !isHeardOf && known?.host.incarnation !== host.incarnation;
-			if (host.name !== this.#self && isNews) {
+			const isUnknown =
+				!isHeardOf && known?.host.incarnation !== host.incarnation;
+			if (host.name !== this.#self && isUnknown) {
 				this.#members.set(host.name, {
 					host,
 					digest: undefined,
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -6,7 +6,7 @@
 import type {SteeringAttemptEnded} from './event.js';
 import type {Limits} from './limits.js';
 import type {SteeringRoute} from './model.js';
-import {PoolPressure} from './pool-pressure.js';
+import {PoolUtilization} from './pool-utilization.js';
 import type {Running, ServerState} from './server-state.js';
 import {WorkTimes} from './work-times.js';
 
@@ -25,12 +25,12 @@
 const idleSlotWeight = 0.5;
 const fullSlotWeight = 2;
 /** Below this part of the slots in use, the pool counts as idle. */
-const idlePressure = 0.5;
+const idleUtilization = 0.5;
 /**
  * In a fuller pool, one host a server decides whether it learns an object that
  * others know: free slots seen late by all hosts would be taken by all.
  */
-const copyPressure = 0.7;
+const copyUtilization = 0.7;
 /** Work of an unknown object varies: so much of it must fit before the deadline. */
 const unknownMargin = 1.4;
 /** A server without work for this long gets the next request that prefers it. */
@@ -103,7 +103,7 @@
 	readonly #beliefs: Beliefs;
 	readonly #limits: Limits;
 	readonly #delays: Delays;
-	readonly #pressure = new PoolPressure();
+	readonly #utilization = new PoolUtilization();
 	readonly #handled: Array<{
 		readonly server: string;
 		readonly objectHash: number;
@@ -224,13 +224,13 @@
 		now: Milliseconds,
 	): Weighed | undefined {
 		const pool = this.#beliefs.fleet.findPool(request.service);
-		const pressure = this.#pressure.compute(request.service, pool, now);
+		const utilization = this.#utilization.compute(request.service, pool, now);
 		const isKnownSomewhere = states.some((state) =>
 			state.hasHandled(request.objectHash),
 		);
 		const mayCopy = (state: ServerState) =>
 			!isKnownSomewhere ||
-			pressure < copyPressure ||
+			utilization < copyUtilization ||
 			this.#limits.owners.isOwner(state.server, now);
 		const ranks = new Map<string, number>();
 		let best: Weighed | undefined;
@@ -242,7 +242,7 @@
 				continue;
 			}
 
-			const weighed = this.#weigh(state, request, {rank, pressure}, now);
+			const weighed = this.#weigh(state, request, {rank, utilization}, now);
 			const isBetter = best === undefined || weighed.cost < best.cost;
 			const isAllowed = weighed.isKnown || mayCopy(state);
 			if (isBetter && isAllowed && hasRoom(weighed, request, now)) {
@@ -256,7 +256,7 @@
 	#weigh(
 		state: ServerState,
 		{route, objectHash, bodyBytes}: PlaceRequest,
-		{rank, pressure}: {readonly rank: number; readonly pressure: number},
+		{rank, utilization}: {readonly rank: number; readonly utilization: number},
 		now: Milliseconds,
 	): Weighed {
 		const {warm, cold} = this.times.get(route);
@@ -273,10 +273,11 @@
 		const load = state.computeLoad(now);
 		const wait = (Math.max(0, load - slots + 1) * warm) / slots;
 		const slowness = state.computeSlowness(now);
-		const doubt = state.isSuspect ? suspectFactor : 1;
+		const suspectWeight = state.isSuspect ? suspectFactor : 1;
 		const way = this.#delays.compute(state.server, bodyBytes);
 		const time = way + (knownIn ?? 0) + (wait + work) * slowness;
-		const cost = (time + work * slowness * toSlotWeight(pressure)) * doubt;
+		const cost =
+			(time + work * slowness * toSlotWeight(utilization)) * suspectWeight;
 		return {state, load, way, wait, work, isKnown, knownIn, time, cost};
 	}
 
@@ -333,7 +334,8 @@
 	return load < slots && now + time + margin < deadline;
 }
 
-function toSlotWeight(pressure: number): number {
-	const fullness = Math.max(0, pressure - idlePressure) / (1 - idlePressure);
+function toSlotWeight(utilization: number): number {
+	const fullness =
+		Math.max(0, utilization - idleUtilization) / (1 - idleUtilization);
 	return idleSlotWeight + fullness * (fullSlotWeight - idleSlotWeight);
 }
--- a/packages/steering/src/pool-pressure.ts
+++ b/packages/steering/src/pool-utilization.ts
@@ -7,7 +7,7 @@
 type Reading = {readonly value: number; readonly at: Milliseconds};
 
 /** How full the servers of each service are: requests for each slot. */
-export class PoolPressure {
+export class PoolUtilization {
 	readonly #readings = new Map<string, Reading>();
 
 	/** 0: idle; 1: as many requests as slots. */
--- a/packages/steering/src/request-life.ts
+++ b/packages/steering/src/request-life.ts
@@ -9,12 +9,12 @@
 import type {SteeringArrival, SteeringAttemptEnded} from './event.js';
 import type {Limits} from './limits.js';
 import type {LiveRequest} from './live-request.js';
-import {Patience} from './patience.js';
+import {WaitLimits} from './wait-limits.js';
 import type {Placer, PlaceProblem} from './placer.js';
 import {RequestLog} from './request-log.js';
 import {TrafficSplit} from './split.js';
 import type {SteeringContext} from './types.js';
-import {WaitingRoom} from './waiting-room.js';
+import {RequestQueue} from './request-queue.js';
 
 /** Servers that reject a request, or cannot be reached, before it is refused. */
 const mostTries = 4;
@@ -28,17 +28,17 @@
 export class RequestLife {
 	readonly #options: RequestLifeOptions;
 	readonly #requests = new Map<RequestId, LiveRequest>();
-	readonly #waiting = new WaitingRoom();
+	readonly #waiting = new RequestQueue();
 	readonly #admission: Admission;
 	readonly #log: RequestLog;
-	readonly #patience: Patience;
+	readonly #waitLimits: WaitLimits;
 
 	constructor(options: RequestLifeOptions) {
 		this.#options = options;
 		const {beliefs, placer} = options;
 		this.#admission = new Admission(beliefs, new TrafficSplit());
 		this.#log = new RequestLog(beliefs);
-		this.#patience = new Patience(placer.times, beliefs.settings.random);
+		this.#waitLimits = new WaitLimits(placer.times, beliefs.settings.random);
 	}
 
 	get isBusy(): boolean {
@@ -102,9 +102,9 @@
 		for (const request of this.#requests.values()) {
 			if (now >= request.deadline) {
 				this.#onDeadline(request, context);
-			} else if (this.#patience.isOverdue(request, now)) {
+			} else if (this.#waitLimits.isOverdue(request, now)) {
 				this.#moveOn(request, context);
-			} else if (this.#patience.isUseless(request, now)) {
+			} else if (this.#waitLimits.isUseless(request, now)) {
 				this.#refuse(request, ErrorKind.NoRoom, context);
 			}
 		}
@@ -150,7 +150,7 @@
 			knownIn !== undefined ||
 			(kind === ErrorKind.NoRoom &&
 				this.#waiting.computeWait(request, now) <=
-					this.#patience.compute(request))
+					this.#waitLimits.computeQueueWait(request))
 		);
 	}
 
@@ -339,7 +339,7 @@
 			type: 'refuse',
 			requestId: request.arrival.requestId,
 			kind: truth,
-			retryAfter: this.#patience.toRetryAfter(truth),
+			retryAfter: this.#waitLimits.toRetryAfter(truth),
 		});
 		this.#log.onEnded(request, truth, context);
 	}
@@ -351,7 +351,7 @@
 		context: SteeringContext,
 	): void {
 		const {requestId} = arrival;
-		const retryAfter = pause ?? this.#patience.toRetryAfter(kind);
+		const retryAfter = pause ?? this.#waitLimits.toRetryAfter(kind);
 		context.emit({type: 'refuse', requestId, kind, retryAfter});
 		this.#log.onRefusedArrival(arrival, kind, retryAfter, context);
 	}
--- a/packages/steering/src/waiting-room.ts
+++ b/packages/steering/src/request-queue.ts
@@ -7,7 +7,7 @@
 type Pace = {perSecond: number; at: Milliseconds};
 
 /** Requests that wait for room, by service, the most urgent first. */
-export class WaitingRoom {
+export class RequestQueue {
 	readonly #queues = new Map<string, LiveRequest[]>();
 	readonly #paces = new Map<string, Pace>();
 
--- a/packages/steering/src/patience.ts
+++ b/packages/steering/src/wait-limits.ts
@@ -17,7 +17,7 @@
 const otherHostReturn: Milliseconds = 50;
 
 /** How long requests wait for room or for an answer, and callers before they return. */
-export class Patience {
+export class WaitLimits {
 	readonly #times: WorkTimes;
 	readonly #random: () => number;
 
@@ -36,18 +36,18 @@
 		}
 
 		const {warm, cold} = this.#times.get(route);
-		const patience = Math.max(
+		const limit = Math.max(
 			place.expected * overdueFactor,
 			cold * overdueColdFactor,
 		);
 		const age = now - place.running.sentAt;
 		// The other server needs time, too.
 		const canEnd = deadline - now > warm * overdueFactor;
-		return canEnd && runs + 1 < route.maximumAttempts && age > patience;
+		return canEnd && runs + 1 < route.maximumAttempts && age > limit;
 	}
 
 	/** Longest wait after which an answer still meets the objective. */
-	compute({route}: LiveRequest): Milliseconds {
+	computeQueueWait({route}: LiveRequest): Milliseconds {
 		const {warm} = this.#times.get(route);
 		return Math.max(
 			route.latencyObjectiveMs / 8,
@@ -59,7 +59,7 @@
 	isUseless(request: LiveRequest, now: Milliseconds): boolean {
 		const {waitingSince, knownAt} = request;
 		const begun = Math.max(waitingSince ?? now, knownAt ?? 0);
-		return now - begun > this.compute(request);
+		return now - begun > this.computeQueueWait(request);
 	}
 
 	/** When a refused caller should come back; spread, so that not all do at once. */
