--- /dev/null
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -0,0 +1,428 @@
+import {createManualClock, type Milliseconds} from '@parsleyvale/shared';
+import {
+	createSteering,
+	type BackendServer,
+	type SteeringConfiguration,
+	type SteeringEffect,
+	type SteeringEvent,
+	type SteeringHost,
+	type SteeringKernel,
+} from '../../src/index.js';
+import {createRandom} from './random.js';
+import {VirtualServer, type Work} from './virtual-server.js';
+
+export type BenchOptions = {
+	readonly regions: readonly string[];
+	readonly hostsPerRegion: number;
+	readonly configuration: SteeringConfiguration;
+	/** Servers of each region, in the order of the regions. */
+	readonly serversPerRegion: readonly number[];
+	readonly slots: number;
+	/** One-way delay between regions. */
+	readonly regionDelay: Milliseconds;
+	readonly service: string;
+	readonly warmPart?: number;
+	/** Objects that a server keeps at hand. */
+	readonly kept?: number;
+	readonly isFirstStart?: boolean;
+	readonly seed: number;
+};
+
+/** What became of one request. */
+export type Outcome = {
+	readonly id: string;
+	readonly path: string;
+	readonly affinity: string;
+	readonly customer: string;
+	readonly region: string;
+	readonly sentAt: Milliseconds;
+	endedAt: Milliseconds | undefined;
+	/** 'answered', or the kind of the refusal. */
+	result: string | undefined;
+	status: number | undefined;
+	retryAfter: Milliseconds | undefined;
+	/** Times that a server began to work on it. */
+	runs: number;
+	servers: string[];
+};
+
+type Host = {
+	readonly host: SteeringHost;
+	readonly kernel: SteeringKernel;
+	isUp: boolean;
+	isCut: boolean;
+};
+
+const tickInterval: Milliseconds = 50;
+const localDelay: Milliseconds = 2;
+
+/** Hosts, servers and callers on a virtual clock, with the real decisions. */
+export class FleetBench {
+	readonly clock = createManualClock(0);
+	readonly outcomes = new Map<string, Outcome>();
+	readonly hosts: Host[] = [];
+	readonly servers = new Map<string, VirtualServer>();
+	readonly listed: BackendServer[] = [];
+	readonly random: () => number;
+	readonly #options: BenchOptions;
+	readonly #events: Array<{
+		readonly at: Milliseconds;
+		readonly action: () => void;
+	}> = [];
+
+	readonly #works = new Map<string, {work: Work; server: VirtualServer}>();
+	#requests = 0;
+
+	constructor(options: BenchOptions) {
+		this.#options = options;
+		this.random = createRandom(options.seed);
+		this.#createServers();
+		for (const region of options.regions) {
+			for (let index = 0; index < options.hostsPerRegion; index++) {
+				this.#createHost(region, `${region}-${index}`);
+			}
+		}
+
+		this.tellServers();
+		this.confirm();
+		this.tellHosts();
+	}
+
+	/** Tells all hosts of each other, as the store lists them. */
+	tellHosts(): void {
+		const hosts = this.hosts.map(({host}) => host);
+		for (const {kernel} of this.hosts) {
+			this.handle(kernel, {type: 'hosts-listed', hosts});
+		}
+	}
+
+	/** Tells all hosts which servers there are. */
+	tellServers(revision = 1): void {
+		for (const {kernel} of this.hosts) {
+			this.handle(kernel, {
+				type: 'fleet-listed',
+				revision,
+				servers: this.listed,
+				evacuated: [],
+			});
+		}
+	}
+
+	/** Tells all hosts that the configuration is the newest. */
+	confirm(): void {
+		const {configuration} = this.#options;
+		for (const {kernel, isCut} of this.hosts) {
+			if (!isCut) {
+				this.handle(kernel, {type: 'configuration-read', configuration, age: 0});
+				this.handle(kernel, {type: 'store-answered', age: 0});
+			}
+		}
+	}
+
+	schedule(at: Milliseconds, action: () => void): void {
+		// The next event is the last one, so that it is cheap to take.
+		let low = 0;
+		let high = this.#events.length;
+		while (low < high) {
+			const middle = (low + high) >>> 1;
+			if (this.#events[middle]!.at > at) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		this.#events.splice(low, 0, {at, action});
+	}
+
+	/** Runs all events up to a time. */
+	runUntil(end: Milliseconds): void {
+		for (;;) {
+			const next = this.#events.at(-1);
+			if (next === undefined || next.at > end) {
+				break;
+			}
+
+			this.#events.pop();
+			this.clock.advance(Math.max(0, next.at - this.clock.now()));
+			next.action();
+		}
+
+		this.clock.advance(Math.max(0, end - this.clock.now()));
+	}
+
+	/** A caller's request reaches a host. */
+	send(request: {
+		readonly region: string;
+		readonly path: string;
+		readonly key: string;
+		readonly affinity: string;
+		readonly timeLeft?: Milliseconds;
+	}): Outcome {
+		const inRegion = this.hosts.filter(
+			({host, isUp}) => isUp && host.region === request.region,
+		);
+		const host = inRegion[Math.floor(this.random() * inRegion.length)]!;
+		const id = `request-${++this.#requests}`;
+		const outcome: Outcome = {
+			id,
+			path: request.path,
+			affinity: request.affinity,
+			customer: request.key,
+			region: request.region,
+			sentAt: this.clock.now(),
+			endedAt: undefined,
+			result: undefined,
+			status: undefined,
+			retryAfter: undefined,
+			runs: 0,
+			servers: [],
+		};
+		this.outcomes.set(id, outcome);
+		this.handle(host.kernel, {
+			type: 'request-arrived',
+			requestId: id,
+			callerId: undefined,
+			hostName: 'example',
+			path: request.path,
+			keyHash: request.key,
+			affinity: request.affinity,
+			bodyBytes: 0,
+			arrivedAt: this.clock.now(),
+			timeLeft: request.timeLeft ?? 4000,
+		});
+		return outcome;
+	}
+
+	handle(kernel: SteeringKernel, event: SteeringEvent): void {
+		for (const effect of kernel.handle(event, this.clock.now())) {
+			this.#apply(kernel, effect);
+		}
+	}
+
+	#apply(kernel: SteeringKernel, effect: SteeringEffect): void {
+		const now = this.clock.now();
+		switch (effect.type) {
+			case 'forward': {
+				this.#forward(kernel, effect);
+				break;
+			}
+
+			case 'deliver': {
+				this.#end(effect.requestId, 'answered', undefined);
+				break;
+			}
+
+			case 'refuse': {
+				this.#end(effect.requestId, effect.kind, effect.retryAfter);
+				break;
+			}
+
+			case 'cancel-attempt': {
+				const entry = this.#works.get(`${effect.requestId}/${effect.attempt}`);
+				entry?.server.cancel(entry.work, now);
+				break;
+			}
+
+			case 'send-digest': {
+				for (const {peerAddress} of effect.to) {
+					const to = this.hosts.find(({host}) => host.name === peerAddress);
+					const delay = this.#toDelay(
+						to?.host.region ?? '',
+						kernel.self.region,
+					);
+					this.schedule(now + delay, () => {
+						const from = this.hosts.find(({kernel: other}) => other === kernel);
+						if (to?.isUp && !to.isCut && from?.isUp && !from.isCut) {
+							this.handle(to.kernel, {
+								type: 'digest-received',
+								digest: effect.digest,
+							});
+						}
+					});
+				}
+
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	#forward(
+		kernel: SteeringKernel,
+		effect: Extract<SteeringEffect, {type: 'forward'}>,
+	): void {
+		const {requestId, attempt, server, deadline} = effect;
+		const outcome = this.outcomes.get(requestId)!;
+		outcome.servers.push(server.id);
+		const delay = this.#toDelay(server.region, kernel.self.region);
+		const virtual = this.servers.get(server.id)!;
+		const work = this.#createWork(outcome, deadline, (status, at) => {
+			outcome.runs += status === 'not-run' ? 0 : 1;
+			const load = virtual.load;
+			this.schedule(at + delay, () => {
+				if (work.isCancelled) {
+					return;
+				}
+
+				const isRun = status !== 'not-run';
+				outcome.status = isRun ? status : 503;
+				this.handle(kernel, {
+					type: 'attempt-ended',
+					requestId,
+					attempt,
+					outcome: isRun ? 'answered' : 'not-run',
+					status: outcome.status,
+					isHeld: true,
+					isRepeatable: true,
+					load,
+					connectTime: delay * 2,
+				});
+			});
+		});
+		this.#works.set(`${requestId}/${attempt}`, {work, server: virtual});
+		this.schedule(this.clock.now() + delay, () => {
+			if (!work.isCancelled) {
+				virtual.receive(work, this.clock.now());
+			}
+		});
+	}
+
+	#createWork(
+		{path, affinity}: Outcome,
+		deadline: Milliseconds,
+		onEnd: Work['onEnd'],
+	): Work {
+		const {configuration, warmPart = 0.3} = this.#options;
+		const route = configuration.routes.find(({pathPrefix}) =>
+			path.startsWith(pathPrefix),
+		)!;
+		const spread = 0.85 + 0.3 * this.random();
+		const cold = route.latencyObjectiveMs * 1.45 * spread;
+		return {
+			object: `${route.name}/${affinity}`,
+			warm: cold * warmPart,
+			cold,
+			deadline,
+			onEnd,
+			isCancelled: false,
+		};
+	}
+
+	#toDelay(from: string, to: string): Milliseconds {
+		return from === to ? localDelay : this.#options.regionDelay;
+	}
+
+	#end(
+		id: string,
+		result: string,
+		retryAfter: Milliseconds | undefined,
+	): void {
+		const outcome = this.outcomes.get(id)!;
+		outcome.endedAt = this.clock.now();
+		outcome.result = result;
+		outcome.retryAfter = retryAfter;
+	}
+
+	#createServers(): void {
+		const {regions, serversPerRegion, slots, service, kept = 24} = this.#options;
+		for (const [index, region] of regions.entries()) {
+			for (let count = 0; count < serversPerRegion[index]!; count++) {
+				const server: BackendServer = {
+					id: `server-${region}-${count}`,
+					service,
+					address: '127.0.0.1',
+					port: 1,
+					failureDomain: `${region}-a`,
+					region,
+					slots,
+					isDraining: false,
+					coldRemainingMs: 0,
+					incarnation: '1',
+				};
+				this.listed.push(server);
+				const virtual = new VirtualServer({
+					server,
+					queue: slots * 3,
+					kept,
+					schedule: this.schedule.bind(this),
+				});
+				this.servers.set(server.id, virtual);
+			}
+		}
+	}
+
+	#createHost(region: string, name: string): void {
+		const host: SteeringHost = {
+			name,
+			incarnation: `${name}/1`,
+			region,
+			failureDomain: `${region}-a`,
+			callers: '127.0.0.1:1',
+			peerAddress: name,
+			peerPort: 1,
+		};
+		const kernel = createSteering({
+			self: host,
+			regions: new Map([[`${region}-a`, region]]),
+			isFirstStart: this.#options.isFirstStart ?? true,
+			revocationBound: 5000,
+			repeatRatio: 0.2,
+			repeatAllowance: 60,
+			repeatWindow: 10_000,
+			stopBound: 6000,
+			random: this.random,
+		});
+		const entry: Host = {host, kernel, isUp: true, isCut: false};
+		this.hosts.push(entry);
+		this.#scheduleTick(entry, this.random() * tickInterval);
+	}
+
+	#scheduleTick(entry: Host, at: Milliseconds): void {
+		this.schedule(at, () => {
+			if (entry.isUp) {
+				this.handle(entry.kernel, {type: 'tick'});
+			}
+
+			this.#scheduleTick(entry, at + tickInterval);
+		});
+	}
+}
+
+/** Requests of one kind that arrive at a steady pace from all regions. */
+export type Stream = {
+	readonly path: string;
+	readonly key: string;
+	readonly perSecond: number;
+	/** Objects of each region. */
+	readonly objects: number;
+	readonly timeLeft: Milliseconds;
+};
+
+/** Sends requests at random moments, until a time; the same ones for a seed. */
+export function sendStreams(
+	bench: FleetBench,
+	regions: readonly string[],
+	streams: readonly Stream[],
+	span: {readonly from: Milliseconds; readonly to: Milliseconds},
+): void {
+	for (const stream of streams) {
+		const {perSecond, objects, ...rest} = stream;
+		let at = span.from;
+		for (;;) {
+			at += (-Math.log(1 - bench.random()) * 1000) / perSecond;
+			if (at >= span.to) {
+				break;
+			}
+
+			const region = regions[Math.floor(bench.random() * regions.length)]!;
+			const affinity = `${region}/${Math.floor(bench.random() * objects)}`;
+			bench.schedule(at, () => {
+				bench.send({...rest, region, affinity});
+			});
+		}
+	}
+}
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -35,8 +35,11 @@
 		const listed = new Set(hosts.map(({name}) => name));
 		for (const host of hosts) {
 			const known = this.#members.get(host.name);
-			const isNewer = known?.host.incarnation !== host.incarnation;
-			if (host.name !== this.#self && isNewer) {
+			const isHeardOf = known && isHeard(known, now, silenceOfLeft);
+			// An entry may be older than what the host said itself.
+			const isNews =
+				!isHeardOf && known?.host.incarnation !== host.incarnation;
+			if (host.name !== this.#self && isNews) {
 				this.#members.set(host.name, {
 					host,
 					digest: undefined,
--- a/packages/steering/src/settings.ts
+++ b/packages/steering/src/settings.ts
@@ -17,8 +17,6 @@
 	readonly repeatWindow: Milliseconds;
 	/** Time in which a stop must be over. */
 	readonly stopBound: Milliseconds;
-	/** One-way delay between regions, as far as it is known. */
-	readonly regionDelay: Milliseconds;
 	/** Uniform numbers from 0 to below 1. */
 	readonly random: () => number;
 };
