--- /dev/null
+++ b/packages/steering/__tests__/beliefs.test.ts
@@ -0,0 +1,210 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createConfiguration} from './support/configuration.js';
+import {
+	createDigest,
+	createHost,
+	createServer,
+	KernelSession,
+	listDecisions,
+} from './support/kernel-session.js';
+
+const servers = [createServer({slots: 100})];
+
+describe('keys', () => {
+	it('are taken for as long as a withdrawal may be unknown', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.clock.advance(4800);
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
+		session.clock.advance(300);
+		expect(listDecisions(session.send().effects)).toEqual([
+			'refuse keys-not-fresh',
+		]);
+	});
+
+	it('stay fresh by what another host says of the same version', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.clock.advance(4800);
+		session.handle({
+			type: 'digest-received',
+			digest: createDigest({configurationAgeMs: 1000}),
+		});
+		session.clock.advance(3000);
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
+	});
+
+	it('do not become fresh by what is said of another version', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.clock.advance(4800);
+		session.handle({
+			type: 'digest-received',
+			digest: createDigest({configurationVersion: 2, configurationAgeMs: 0}),
+		});
+		session.clock.advance(300);
+		expect(listDecisions(session.send().effects)).toEqual([
+			'refuse keys-not-fresh',
+		]);
+	});
+
+	it('are not fresh after the process stood still', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.handle({type: 'suspended'});
+		expect(listDecisions(session.send().effects)).toEqual([
+			'refuse keys-not-fresh',
+		]);
+	});
+
+	it('that are unknown are refused for good only by a fresh configuration', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		const fresh = session.send({keyHash: 'other'});
+		expect(listDecisions(fresh.effects)).toEqual(['refuse key-unknown']);
+		session.clock.advance(6000);
+		const old = session.send({keyHash: 'other'});
+		expect(listDecisions(old.effects)).toEqual(['refuse keys-not-fresh']);
+	});
+});
+
+describe('a configuration', () => {
+	it('never goes back to an older version', () => {
+		const session = new KernelSession();
+		session.begin(servers, createConfiguration({version: 7}));
+		session.handle({
+			type: 'configuration-read',
+			configuration: createConfiguration({version: 6, routes: []}),
+			age: 0,
+		});
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
+	});
+
+	it('that another host has and the store does not tell is fetched', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.handle({
+			type: 'digest-received',
+			digest: createDigest({configurationVersion: 2}),
+		});
+		const fetches = session.take('fetch-copy', {type: 'tick'});
+		expect(fetches.map(({name}) => name)).toEqual(['host-2']);
+	});
+
+	it('is unknown to a host that has heard nothing: it refuses as not run', () => {
+		const session = new KernelSession();
+		expect(listDecisions(session.send().effects)).toEqual([
+			'refuse not-configured',
+		]);
+	});
+});
+
+describe('servers', () => {
+	it('that drain, or whose failure domain is evacuated, get nothing more', () => {
+		const session = new KernelSession();
+		session.begin([createServer({}), createServer({id: 'server-2'})]);
+		session.list(
+			[createServer({isDraining: true}), createServer({id: 'server-2'})],
+			2,
+		);
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-2']);
+		session.handle({
+			type: 'fleet-listed',
+			revision: 3,
+			servers: [createServer({id: 'server-2'})],
+			evacuated: ['east-a'],
+		});
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('are not taken from a list that is older', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		session.list([createServer({isDraining: true})], 5);
+		session.list([createServer({})], 4);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('whose entries lapsed with the store are kept until they may be back', () => {
+		const session = new KernelSession();
+		session.begin([createServer({slots: 100})]);
+		session.handle({type: 'store-failed', reason: 'timeout'});
+		session.handle({type: 'store-answered', age: 0});
+		session.list([], 2);
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
+		session.wait(2500);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('that leave while the store is well are gone at once', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		session.list([], 2);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('that fail twice in a row get nothing for a while', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		for (let count = 0; count < 2; count++) {
+			const {id} = session.send();
+			session.end(id, 1, {outcome: 'not-sent', status: undefined});
+		}
+
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+		session.clock.advance(1100);
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
+	});
+});
+
+describe('a look-up', () => {
+	const lookUp = {
+		type: 'look-up-arrived',
+		lookUpId: '1',
+		region: 'east',
+		failureDomain: 'east-a',
+	} as const;
+
+	it('names live hosts of the region of the caller alone', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.handle({type: 'digest-received', digest: createDigest({})});
+		const elsewhere = createDigest({
+			name: 'host-3',
+			region: 'west',
+			callers: '127.0.0.3:1',
+		});
+		session.handle({type: 'digest-received', digest: elsewhere});
+		const [answer] = session.take('answer-look-up', lookUp);
+		expect(answer!.callers).toEqual(['127.0.0.1:1', '127.0.0.2:1']);
+	});
+
+	it('leaves out hosts that are silent, not ready, or stopping', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.handle({type: 'digest-received', digest: createDigest({})});
+		session.clock.advance(2000);
+		const unready = createDigest({
+			name: 'host-3',
+			callers: '127.0.0.3:1',
+			isReady: false,
+		});
+		session.handle({type: 'digest-received', digest: unready});
+		const [before] = session.take('answer-look-up', lookUp);
+		expect(before!.callers).toEqual(['127.0.0.1:1']);
+		session.handle({type: 'stop-requested'});
+		const [after] = session.take('answer-look-up', lookUp);
+		expect(after!.callers).toEqual([]);
+	});
+
+	it('does not take an old entry in the store for a host that speaks itself', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		session.handle({type: 'digest-received', digest: createDigest({})});
+		const old = createHost({name: 'host-2', incarnation: 'host-2/0'});
+		session.handle({type: 'hosts-listed', hosts: [old]});
+		const [answer] = session.take('answer-look-up', lookUp);
+		expect(answer!.callers).toEqual(['127.0.0.1:1', '127.0.0.2:1']);
+	});
+});
--- /dev/null
+++ b/packages/steering/__tests__/limits.test.ts
@@ -0,0 +1,144 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {RepeatBudget} from '../src/repeat-budget.js';
+import {
+	createConfiguration,
+	createCustomer,
+	createRoute,
+} from './support/configuration.js';
+import {FleetBench, sendStreams, type Outcome} from './support/fleet-bench.js';
+
+const regions = ['east', 'west', 'north'];
+const end = 25_000;
+
+function createBench(
+	customer: {readonly ratePerSecond: number; readonly burst: number},
+	seed: number,
+	isFirstStart = true,
+): FleetBench {
+	return new FleetBench({
+		regions,
+		hostsPerRegion: 3,
+		configuration: createConfiguration({
+			routes: [createRoute({latencyObjectiveMs: 100})],
+			customers: [createCustomer(customer)],
+		}),
+		serversPerRegion: [20, 20, 20],
+		slots: 10,
+		regionDelay: 12,
+		service: 'desk',
+		isFirstStart,
+		seed,
+	});
+}
+
+function runLoad(bench: FleetBench, perSecond: number, objects = 8): Outcome[] {
+	for (let at = 0; at < end; at += 500) {
+		bench.schedule(at, () => {
+			bench.confirm();
+		});
+	}
+
+	const stream = {path: '/read/', key: 'key', objects, timeLeft: 3000};
+	sendStreams(bench, regions, [{...stream, perSecond}], {from: 1000, to: end});
+	bench.runUntil(end + 3000);
+	return [...bench.outcomes.values()];
+}
+
+/** Most requests that ran of those sent in any five seconds. */
+function countBusiestWindow(outcomes: readonly Outcome[]): number {
+	const times = outcomes.filter(({runs}) => runs > 0).map(({sentAt}) => sentAt);
+	return Math.max(
+		...times.map(
+			(from) => times.filter((at) => at >= from && at < from + 5000).length,
+		),
+	);
+}
+
+describe('the rate of a customer over nine hosts', () => {
+	for (const [seed, ratePerSecond] of [15, 30, 81].entries()) {
+		it(`is kept when it sends five times as much (${ratePerSecond} a second)`, () => {
+			const bench = createBench({ratePerSecond, burst: ratePerSecond}, seed);
+			const outcomes = runLoad(bench, ratePerSecond * 5);
+			// The platform's bound: a tenth and twenty requests over rate and burst.
+			const most = (ratePerSecond * 5 + ratePerSecond) * 1.1 + 20;
+			expect(countBusiestWindow(outcomes)).toBeLessThanOrEqual(most);
+		});
+
+		it(`is given out in full to one that sends more (${ratePerSecond} a second)`, () => {
+			const bench = createBench({ratePerSecond, burst: ratePerSecond}, seed);
+			const outcomes = runLoad(bench, ratePerSecond * 2);
+			const served = outcomes.filter(({result}) => result === 'answered');
+			const owed = (ratePerSecond * (end - 1000)) / 1000;
+			expect(served.length).toBeGreaterThanOrEqual(0.9 * owed);
+		});
+
+		it(`refuses next to nothing below it (${ratePerSecond} a second)`, () => {
+			const bench = createBench({ratePerSecond, burst: ratePerSecond}, seed);
+			const outcomes = runLoad(bench, ratePerSecond / 1.6);
+			const refused = outcomes.filter(({result}) => result === 'rate-exceeded');
+			expect(refused.length / outcomes.length).toBeLessThanOrEqual(0.01);
+		});
+	}
+
+	it('begins empty on hosts that come back after all had stopped', () => {
+		const customer = {ratePerSecond: 30, burst: 30};
+		const outcomes = runLoad(createBench(customer, 9, false), 150);
+		expect(countBusiestWindow(outcomes)).toBeLessThanOrEqual(
+			(30 * 5 + 30) * 1.1 + 20,
+		);
+	});
+});
+
+describe('a cold server', () => {
+	it('gets its cold rate from all hosts together, and no more', () => {
+		const bench = createBench({ratePerSecond: 0, burst: 0}, 3);
+		const arrivals: number[] = [];
+		bench.schedule(5000, () => {
+			const [model] = bench.listed;
+			const cold = {...model!, id: 'server-cold', coldRemainingMs: 3000};
+			bench.addServer(cold, (at) => arrivals.push(at));
+			bench.tellServers(2);
+		});
+		runLoad(bench, 400, 200);
+		const whileCold = arrivals.filter((at) => at < 8000);
+		const busiest = Math.max(
+			0,
+			...whileCold.map(
+				(from) =>
+					whileCold.filter((at) => at >= from && at < from + 1000).length,
+			),
+		);
+		// Three a second, half as much more, and five.
+		expect(busiest).toBeLessThanOrEqual(3 * 1.5 + 5);
+		expect(whileCold.length).toBeGreaterThanOrEqual(1);
+	});
+});
+
+describe('repeats', () => {
+	it('stay within their ratio and allowance in every window, over all hosts', () => {
+		const hosts = 10;
+		const budgets = Array.from(
+			{length: hosts},
+			() => new RepeatBudget({ratio: 0.2, allowance: 60, window: 10_000}),
+		);
+		const requests: number[] = [];
+		const repeats: number[] = [];
+		for (let now = 0; now < 40_000; now += 20) {
+			const budget = budgets[(now / 20) % hosts]!;
+			budget.onRequest('desk', hosts, now);
+			requests.push(now);
+			while (budget.take('desk', hosts, now)) {
+				repeats.push(now);
+			}
+		}
+
+		for (let from = 0; from < 30_000; from += 500) {
+			const isInside = (at: number) => at >= from && at < from + 10_000;
+			const most = 0.2 * requests.filter((at) => isInside(at)).length + 60;
+			expect(repeats.filter((at) => isInside(at)).length).toBeLessThanOrEqual(
+				most,
+			);
+		}
+	});
+});
--- /dev/null
+++ b/packages/steering/__tests__/requests.test.ts
@@ -0,0 +1,224 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+	createConfiguration,
+	createCustomer,
+	createRoute,
+} from './support/configuration.js';
+import {
+	createServer,
+	KernelSession,
+	listDecisions,
+} from './support/kernel-session.js';
+
+const two = [createServer({}), createServer({id: 'server-2'})];
+const onceOnly = createConfiguration({
+	routes: [createRoute({isIdempotent: false})],
+});
+
+describe('a request', () => {
+	it('is forwarded, and its answer delivered', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		const {id, effects} = session.send();
+		expect(listDecisions(effects)).toEqual(['forward server-1']);
+		expect(listDecisions(session.end(id, 1))).toEqual(['deliver 1']);
+	});
+
+	it('that may run once is never sent again after an unknown outcome', () => {
+		const session = new KernelSession();
+		session.begin(two, onceOnly);
+		const {id} = session.send();
+		const effects = session.end(id, 1, {
+			outcome: 'unknown',
+			status: undefined,
+		});
+		expect(listDecisions(effects)).toEqual(['refuse outcome-unknown']);
+	});
+
+	it('that a server did not run goes to another', () => {
+		const session = new KernelSession();
+		session.begin(two, onceOnly);
+		const {id, effects} = session.send();
+		const [first] = listDecisions(effects);
+		const other =
+			first === 'forward server-1' ? 'forward server-2' : 'forward server-1';
+		const next = session.end(id, 1, {outcome: 'not-run', status: 503});
+		expect(listDecisions(next)).toEqual([other]);
+	});
+
+	it('that no server ran is refused as not run', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})], onceOnly);
+		const {id} = session.send();
+		const effects = session.end(id, 1, {outcome: 'not-run', status: 503});
+		expect(listDecisions(effects)).toEqual(['refuse no-server']);
+	});
+
+	it('that may be repeated is, after an unknown outcome', () => {
+		const session = new KernelSession();
+		session.begin(two);
+		const {id} = session.send();
+		const effects = session.end(id, 1, {
+			outcome: 'unknown',
+			status: undefined,
+		});
+		expect(listDecisions(effects)[0]!.startsWith('forward')).toEqual(true);
+	});
+
+	it('is not called not run once a server may have run it', () => {
+		const session = new KernelSession();
+		session.begin(two);
+		const {id} = session.send();
+		session.end(id, 1, {outcome: 'unknown', status: undefined});
+		const effects = session.end(id, 2, {outcome: 'not-run', status: 503});
+		expect(listDecisions(effects)).toEqual(['refuse outcome-unknown']);
+	});
+
+	it("gets its final answer at its route's time-out", () => {
+		const session = new KernelSession();
+		session.begin([createServer({})], onceOnly);
+		session.send();
+		expect(listDecisions(session.wait(1150))).toEqual([]);
+		expect(listDecisions(session.wait(100))).toEqual([
+			'cancel-attempt 1',
+			'refuse deadline-exceeded',
+		]);
+	});
+
+	it('is cancelled at its server when the caller leaves', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		const {id} = session.send();
+		const effects = session.handle({type: 'request-cancelled', requestId: id});
+		expect(listDecisions(effects)).toEqual(['cancel-attempt 1']);
+		expect(listDecisions(session.end(id, 1))).toEqual([]);
+	});
+
+	it('that cannot end in time is refused at once, not held', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		const {effects} = session.send({timeLeft: 20});
+		expect(listDecisions(effects)).toEqual(['refuse no-room']);
+	});
+
+	it('for which no server is left is refused at once', () => {
+		const session = new KernelSession();
+		session.begin([createServer({isDraining: true})]);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it("goes only where both its route's and its customer's homes are", () => {
+		const session = new KernelSession();
+		const servers = [
+			createServer({region: 'east'}),
+			createServer({id: 'server-2', region: 'west'}),
+		];
+		session.begin(
+			servers,
+			createConfiguration({
+				routes: [createRoute({homeRegions: ['east', 'west']})],
+				customers: [createCustomer({homeRegions: ['west', 'north']})],
+			}),
+		);
+		for (let count = 0; count < 4; count++) {
+			expect(listDecisions(session.send().effects)).toEqual([
+				'forward server-2',
+			]);
+		}
+	});
+
+	it('whose homes exclude each other goes nowhere', () => {
+		const session = new KernelSession();
+		session.begin(
+			[createServer({})],
+			createConfiguration({
+				routes: [createRoute({homeRegions: ['east']})],
+				customers: [createCustomer({homeRegions: ['west']})],
+			}),
+		);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('takes the route with the longest prefix', () => {
+		const session = new KernelSession();
+		session.begin(
+			[createServer({}), createServer({id: 'server-2', service: 'vault'})],
+			createConfiguration({
+				routes: [
+					createRoute({}),
+					createRoute({
+						name: 'deep',
+						pathPrefix: '/read/deep/',
+						targets: [{service: 'vault', weight: 1}],
+					}),
+				],
+			}),
+		);
+		const deep = session.send({path: '/read/deep/1'});
+		expect(listDecisions(deep.effects)).toEqual(['forward server-2']);
+		const other = session.send({path: '/read/other'});
+		expect(listDecisions(other.effects)).toEqual(['forward server-1']);
+		const none = session.send({path: '/elsewhere/'});
+		expect(listDecisions(none.effects)).toEqual(['refuse no-route']);
+	});
+
+	it('is dealt out by the weights of its route, within one request', () => {
+		const session = new KernelSession();
+		session.begin(
+			[
+				createServer({slots: 1000}),
+				createServer({id: 'server-2', service: 'vault', slots: 1000}),
+			],
+			createConfiguration({
+				routes: [
+					createRoute({
+						targets: [
+							{service: 'desk', weight: 90},
+							{service: 'vault', weight: 10},
+						],
+					}),
+				],
+			}),
+		);
+		let ofVault = 0;
+		for (let count = 0; count < 100; count++) {
+			const [decision] = listDecisions(session.send().effects);
+			ofVault += decision === 'forward server-2' ? 1 : 0;
+		}
+
+		expect(ofVault).toEqual(10);
+	});
+});
+
+describe('a request for an object', () => {
+	it('goes to the server that handled one for it before', () => {
+		const session = new KernelSession();
+		const servers = ['1', '2', '3', '4', '5', '6'].map((id) =>
+			createServer({id: `server-${id}`}),
+		);
+		session.begin(servers);
+		const first = session.send({affinity: '17'});
+		const [decision] = listDecisions(first.effects);
+		session.clock.advance(300);
+		session.end(first.id, 1);
+		for (let count = 0; count < 3; count++) {
+			const next = session.send({affinity: '17'});
+			expect(listDecisions(next.effects)).toEqual([decision!]);
+			session.clock.advance(200);
+			session.end(next.id, 1);
+		}
+	});
+
+	it('waits for the server that handles the first one for it', () => {
+		const session = new KernelSession();
+		session.begin([createServer({}), createServer({id: 'server-2'})]);
+		const first = session.send({affinity: '17'});
+		session.clock.advance(400);
+		const second = session.send({affinity: '17'});
+		expect(listDecisions(second.effects)).toEqual([]);
+		session.clock.advance(100);
+		const effects = listDecisions(session.end(first.id, 1));
+		expect(effects).toEqual(['deliver 1', ...listDecisions(first.effects)]);
+	});
+});
--- a/packages/steering/__tests__/support/fleet-bench.ts
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -96,6 +96,22 @@
 		}
 	}
 
+	/** Adds a server, which `tellServers` makes known. */
+	addServer(
+		server: BackendServer,
+		onArrival: (at: Milliseconds) => void,
+	): void {
+		this.listed.push(server);
+		const virtual = new VirtualServer({
+			server,
+			queue: server.slots * 3,
+			kept: this.#options.kept ?? 24,
+			schedule: this.schedule.bind(this),
+			onArrival,
+		});
+		this.servers.set(server.id, virtual);
+	}
+
 	/** Tells all hosts which servers there are. */
 	tellServers(revision = 1): void {
 		for (const {kernel} of this.hosts) {
@@ -128,7 +144,7 @@
 		let low = 0;
 		let high = this.#events.length;
 		while (low < high) {
-			const middle = (low + high) >>> 1;
+			const middle = Math.floor((low + high) / 2);
 			if (this.#events[middle]!.at > at) {
 				low = middle + 1;
 			} else {
@@ -206,6 +222,7 @@
 
 	#apply(kernel: SteeringKernel, effect: SteeringEffect): void {
 		const now = this.clock.now();
+		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check -- Logs and metrics have no effect here.
 		switch (effect.type) {
 			case 'forward': {
 				this.#forward(kernel, effect);
@@ -266,7 +283,7 @@
 		const virtual = this.servers.get(server.id)!;
 		const work = this.#createWork(outcome, deadline, (status, at) => {
 			outcome.runs += status === 'not-run' ? 0 : 1;
-			const load = virtual.load;
+			const {load} = virtual;
 			this.schedule(at + delay, () => {
 				if (work.isCancelled) {
 					return;
@@ -328,13 +345,7 @@
 	}
 
 	#createServers(): void {
-		const {
-			regions,
-			serversPerRegion,
-			slots,
-			service,
-			kept = 24,
-		} = this.#options;
+		const {regions, serversPerRegion, slots, service} = this.#options;
 		for (const [index, region] of regions.entries()) {
 			for (let count = 0; count < serversPerRegion[index]!; count++) {
 				const server: BackendServer = {
@@ -349,14 +360,7 @@
 					coldRemainingMs: 0,
 					incarnation: '1',
 				};
-				this.listed.push(server);
-				const virtual = new VirtualServer({
-					server,
-					queue: slots * 3,
-					kept,
-					schedule: this.schedule.bind(this),
-				});
-				this.servers.set(server.id, virtual);
+				this.addServer(server, () => undefined);
 			}
 		}
 	}
--- /dev/null
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -0,0 +1,191 @@
+import {createManualClock, type Milliseconds} from '@parsleyvale/shared';
+import {
+	createSteering,
+	type BackendServer,
+	type Digest,
+	type SteeringConfiguration,
+	type SteeringEffect,
+	type SteeringEvent,
+	type SteeringHost,
+	type SteeringSettings,
+} from '../../src/index.js';
+import {createConfiguration} from './configuration.js';
+
+export function createServer(values: Partial<BackendServer>): BackendServer {
+	return {
+		id: 'server-1',
+		service: 'desk',
+		address: '127.0.0.1',
+		port: 1,
+		failureDomain: 'east-a',
+		region: 'east',
+		slots: 4,
+		isDraining: false,
+		coldRemainingMs: 0,
+		incarnation: '1',
+		...values,
+	};
+}
+
+export function createHost(values: Partial<SteeringHost>): SteeringHost {
+	return {
+		name: 'host-1',
+		incarnation: 'host-1/1',
+		region: 'east',
+		failureDomain: 'east-a',
+		callers: '127.0.0.1:1',
+		peerAddress: '127.0.0.1',
+		peerPort: 1,
+		...values,
+	};
+}
+
+export function createDigest(values: Partial<Digest>): Digest {
+	return {
+		name: 'host-2',
+		incarnation: 'host-2/1',
+		sequence: 1,
+		region: 'east',
+		failureDomain: 'east-a',
+		callers: '127.0.0.2:1',
+		address: '127.0.0.2',
+		port: 1,
+		isReady: true,
+		configurationVersion: 1,
+		configurationAgeMs: 0,
+		storeAgeMs: 0,
+		fleetRevision: 1,
+		...values,
+	};
+}
+
+/** One host's decisions, driven by hand. */
+export class KernelSession {
+	readonly clock = createManualClock(0);
+	readonly kernel;
+	#requests = 0;
+
+	constructor(settings: Partial<SteeringSettings> = {}) {
+		this.kernel = createSteering({
+			self: createHost({}),
+			regions: new Map([['east-a', 'east']]),
+			isFirstStart: true,
+			revocationBound: 5000,
+			repeatRatio: 0.2,
+			repeatAllowance: 60,
+			repeatWindow: 10_000,
+			stopBound: 6000,
+			random: () => 0.5,
+			...settings,
+		});
+	}
+
+	handle(event: SteeringEvent): SteeringEffect[] {
+		return this.kernel.handle(event, this.clock.now());
+	}
+
+	/** Effects of one type that an event has. */
+	take<Type extends SteeringEffect['type']>(
+		type: Type,
+		event: SteeringEvent,
+	): Array<Extract<SteeringEffect, {type: Type}>> {
+		return this.handle(event).filter(
+			(effect): effect is Extract<SteeringEffect, {type: Type}> =>
+				effect.type === type,
+		);
+	}
+
+	begin(
+		servers: readonly BackendServer[],
+		configuration: SteeringConfiguration = createConfiguration(),
+	): void {
+		this.handle({type: 'configuration-read', configuration, age: 0});
+		this.list(servers, 1);
+	}
+
+	list(servers: readonly BackendServer[], revision: number): SteeringEffect[] {
+		return this.handle({
+			type: 'fleet-listed',
+			revision,
+			servers,
+			evacuated: [],
+		});
+	}
+
+	/** Lets time pass with its ticks; returns what they had as effects. */
+	wait(span: Milliseconds): SteeringEffect[] {
+		const effects: SteeringEffect[] = [];
+		for (let passed = 0; passed < span; passed += 50) {
+			this.clock.advance(50);
+			effects.push(...this.handle({type: 'tick'}));
+		}
+
+		return effects;
+	}
+
+	/** A request arrives; its id and effects. */
+	send(
+		values: Partial<Extract<SteeringEvent, {type: 'request-arrived'}>> = {},
+	): {id: string; effects: SteeringEffect[]} {
+		const id = `request-${++this.#requests}`;
+		const effects = this.handle({
+			type: 'request-arrived',
+			requestId: id,
+			callerId: undefined,
+			hostName: 'example',
+			path: '/read/1',
+			keyHash: 'key',
+			affinity: undefined,
+			bodyBytes: 0,
+			arrivedAt: this.clock.now(),
+			timeLeft: 4000,
+			...values,
+		});
+		return {id, effects};
+	}
+
+	/** An attempt ends as given; answered in full where nothing is. */
+	end(
+		requestId: string,
+		attempt: number,
+		values: Partial<Extract<SteeringEvent, {type: 'attempt-ended'}>> = {},
+	): SteeringEffect[] {
+		return this.handle({
+			type: 'attempt-ended',
+			requestId,
+			attempt,
+			outcome: 'answered',
+			status: 200,
+			isHeld: true,
+			isRepeatable: true,
+			load: undefined,
+			connectTime: undefined,
+			...values,
+		});
+	}
+}
+
+/** What an event came to, in short: forward, deliver, refuse with its kind. */
+export function listDecisions(effects: readonly SteeringEffect[]): string[] {
+	return effects.flatMap((effect) => {
+		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check -- Only decisions are listed.
+		switch (effect.type) {
+			case 'forward': {
+				return [`forward ${effect.server.id}`];
+			}
+
+			case 'refuse': {
+				return [`refuse ${effect.kind}`];
+			}
+
+			case 'deliver':
+			case 'cancel-attempt': {
+				return [`${effect.type} ${effect.attempt}`];
+			}
+
+			default: {
+				return [];
+			}
+		}
+	});
+}
--- a/packages/steering/__tests__/support/virtual-server.ts
+++ b/packages/steering/__tests__/support/virtual-server.ts
@@ -16,6 +16,7 @@
 	readonly queue: number;
 	/** Objects that it keeps at hand. */
 	readonly kept: number;
+	readonly onArrival: (at: Milliseconds) => void;
 	readonly schedule: (at: Milliseconds, action: () => void) => void;
 };
 
@@ -37,7 +38,8 @@
 	}
 
 	receive(work: Work, now: Milliseconds): void {
-		const {server, queue} = this.#options;
+		const {server, queue, onArrival} = this.#options;
+		onArrival(now);
 		if (this.#running.size < server.slots) {
 			this.#start(work, now);
 		} else if (this.#waiting.length < queue) {
--- a/packages/steering/src/cold-pacer.ts
+++ b/packages/steering/src/cold-pacer.ts
@@ -1,4 +1,5 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
+import type {BackendServer} from './model.js';
 import type {ServerOwners} from './server-owners.js';
 
 type Pace = {tokens: number; refilledAt: Milliseconds};
@@ -19,10 +20,14 @@
 	}
 
 	/** Whether a request may go to the cold server now. */
-	hasRoom(serverId: string, ratePerSecond: number, now: Milliseconds): boolean {
+	hasRoom(
+		server: BackendServer,
+		ratePerSecond: number,
+		now: Milliseconds,
+	): boolean {
 		return (
-			this.#owners.isOwner(serverId, now) &&
-			this.#refill(serverId, ratePerSecond, now).tokens >= 1
+			this.#owners.isOwnerInRegion(server, now) &&
+			this.#refill(server.id, ratePerSecond, now).tokens >= 1
 		);
 	}
 
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -1,4 +1,5 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
+import type {Digest} from './digest.js';
 import type {Members} from './members.js';
 import type {SteeringCustomer} from './model.js';
 
@@ -8,16 +9,33 @@
 const leastDemand = 0.01;
 /** Part of a rate that is dealt out by demand; the rest goes evenly to all hosts. */
 const partByDemand = 0.9;
-/** Part of the burst that is never overdrawn: what all hosts admit before they hear of each other stays near the burst. */
-const keptPart = 0.4;
+/**
+ * Part of the burst that is dealt out by shares, not taken freely: it covers
+ * what hosts admit before they hear of each other.
+ */
+const sharedPart = 0.4;
+/** Above this part of the burst, counts are told with the regular digests. */
+const quietPart = 0.7;
+/** Tokens that a host's share gathers, so that a pair of requests fits. */
+const mostOfShare = 2;
+
+type Count = {readonly incarnation: string; readonly admitted: number};
 
 type Bucket = {
 	customer: SteeringCustomer;
+	/** Tokens of the whole fleet, as far as this host has heard. */
 	tokens: number;
+	/** What this host's share has gathered. */
+	ofShare: number;
 	refilledAt: Milliseconds;
 	/** Requests a second that ask for tokens here. */
 	demand: number;
 	demandAt: Milliseconds;
+	/** Tokens taken here in all, and those that the others have been told of. */
+	admitted: number;
+	told: number;
+	/** What others have said that they took. */
+	readonly others: Map<string, Count>;
 };
 
 export type CustomerRatesOptions = {
@@ -27,10 +45,11 @@
 };
 
 /**
- * Customers' rates and bursts, counted over all hosts. Each host has a share
- * by its part of the demand and fills a bucket of its own from it. A bucket may
- * go below zero while the others' buckets hold tokens, by no more than this
- * host's share of them, so that a small share does not refuse a burst that fits.
+ * Customers' rates and bursts, counted over all hosts. Every host keeps the
+ * fleet's bucket from what all say that they admitted. While it is well filled,
+ * a host takes from it freely; below that, it also needs a token of its share
+ * of the rate, which follows its part of the demand. Hosts that are silent may
+ * go on alone: an even part of the rate and the burst is left to each of them.
  */
 export class CustomerRates {
 	readonly #options: CustomerRatesOptions;
@@ -40,100 +59,151 @@
 		this.#options = options;
 	}
 
-	/** Takes a token; the time until there is one again when there is none. */
+	/** Takes a token; the time until there may be one when there is none. */
 	take(
 		customer: SteeringCustomer,
 		now: Milliseconds,
 	): Milliseconds | undefined {
-		if (customer.ratePerSecond === 0) {
+		const {ratePerSecond, burst} = customer;
+		if (ratePerSecond === 0) {
 			return undefined;
 		}
 
-		const share = this.#computeShare(customer, now);
-		const bucket = this.#refill(customer, share, now);
+		const bucket = this.#refill(customer, now);
 		bucket.demand += second / demandSpan;
-		if (
-			bucket.tokens >=
-			1 - this.#computeOverdraft(customer, {bucket, share}, now)
-		) {
+		const isFree = bucket.tokens > burst * sharedPart;
+		if (bucket.tokens >= 1 && (isFree || bucket.ofShare >= 1)) {
 			bucket.tokens -= 1;
+			bucket.ofShare = Math.max(0, bucket.ofShare - 1);
+			bucket.admitted += 1;
 			return undefined;
 		}
 
-		const missing = 1 - bucket.tokens;
-		return (missing / (customer.ratePerSecond * share)) * second;
+		const missing = Math.max(1 - bucket.tokens, 1 - bucket.ofShare);
+		return (missing / ratePerSecond) * second;
 	}
 
-	/** Gives a token back for a request that was sent to no server. */
-	giveBack(customer: SteeringCustomer): void {
-		const bucket = this.#buckets.get(customer.name);
+	/** Gives a token back for a request that no server ran. */
+	giveBack({name, burst}: SteeringCustomer): void {
+		const bucket = this.#buckets.get(name);
 		if (bucket !== undefined) {
-			bucket.tokens = Math.min(customer.burst, bucket.tokens + 1);
+			bucket.tokens = Math.min(burst, bucket.tokens + 1);
+			bucket.admitted -= 1;
+		}
+	}
+
+	/** Takes what another host says that it admitted. */
+	onDigest(digest: Digest): void {
+		const {name, incarnation, customers} = digest;
+		if (!this.#options.members.isNewest(digest)) {
+			return;
+		}
+
+		for (const [customer, [, admitted]] of Object.entries(customers ?? {})) {
+			const bucket = this.#buckets.get(customer);
+			const known = bucket?.others.get(name);
+			if (bucket === undefined) {
+				continue;
+			}
+
+			bucket.others.set(name, {incarnation, admitted});
+			if (known !== undefined) {
+				const since = known.incarnation === incarnation ? known.admitted : 0;
+				bucket.tokens -= admitted - since;
+			}
 		}
 	}
 
-	/** Demand and tokens of each customer, for the other hosts. */
+	/** Whether others should hear at once of what was admitted here. */
+	hasNews(): boolean {
+		const hosts = this.#options.members.listKnown().length + 1;
+		for (const {customer, tokens, admitted, told} of this.#buckets.values()) {
+			const untold = Math.max(1, (customer.burst * sharedPart) / hosts);
+			const isPressed = tokens < customer.burst * quietPart;
+			if (isPressed && admitted - told >= untold) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Demand here and tokens taken here of each customer, for the other hosts. */
 	describe(now: Milliseconds): Record<string, [number, number]> {
 		const described: Record<string, [number, number]> = {};
 		for (const [name, bucket] of this.#buckets) {
-			const share = this.#computeShare(bucket.customer, now);
-			this.#refill(bucket.customer, share, now);
-			if (bucket.demand > leastDemand) {
-				described[name] = [toTenths(bucket.demand), toTenths(bucket.tokens)];
+			fadeDemand(bucket, now);
+			if (bucket.demand > leastDemand || bucket.told !== bucket.admitted) {
+				described[name] = [toTenths(bucket.demand), bucket.admitted];
+				bucket.told = bucket.admitted;
 			}
 		}
 
 		return described;
 	}
 
-	#refill(
-		customer: SteeringCustomer,
-		share: number,
-		now: Milliseconds,
-	): Bucket {
-		const {name, ratePerSecond, burst} = customer;
-		const capacity = burst * share;
-		let bucket = this.#buckets.get(name);
-		if (bucket === undefined) {
-			const tokens = this.#options.isFirstStart ? capacity : 0;
-			bucket = {customer, tokens, refilledAt: now, demand: 0, demandAt: now};
-			this.#buckets.set(name, bucket);
+	/** Begins buckets of customers that are new, so that others' counts find them. */
+	define(customers: readonly SteeringCustomer[], now: Milliseconds): void {
+		for (const customer of customers) {
+			if (customer.ratePerSecond > 0) {
+				this.#refill(customer, now);
+			}
 		}
+	}
 
-		bucket.customer = customer;
+	#refill(customer: SteeringCustomer, now: Milliseconds): Bucket {
+		const {name, ratePerSecond, burst} = customer;
+		const bucket = this.#getBucket(customer, now);
 		fadeDemand(bucket, now);
-		const refill = (ratePerSecond * share * (now - bucket.refilledAt)) / second;
-		bucket.tokens = Math.min(Math.max(1, capacity), bucket.tokens + refill);
+		const {share, heardPart} = this.#computeShare(bucket, now);
+		const refill = (ratePerSecond * (now - bucket.refilledAt)) / second;
+		bucket.customer = customer;
+		bucket.tokens = Math.min(
+			burst * heardPart,
+			bucket.tokens + refill * heardPart,
+		);
+		bucket.ofShare = Math.min(mostOfShare, bucket.ofShare + refill * share);
 		bucket.refilledAt = now;
+		this.#buckets.set(name, bucket);
 		return bucket;
 	}
 
-	#computeShare({name}: SteeringCustomer, now: Milliseconds): number {
-		const holders = this.#options.members.listHolders(now);
-		const own = this.#buckets.get(name)?.demand ?? 0;
-		let sum = own;
-		for (const {digest} of holders) {
-			sum += digest?.customers?.[name]?.[0] ?? 0;
-		}
-
-		const even = 1 / (holders.length + 1);
-		const byDemand = sum > 0 ? own / sum : even;
-		return partByDemand * byDemand + (1 - partByDemand) * even;
+	#getBucket(customer: SteeringCustomer, now: Milliseconds): Bucket {
+		return (
+			this.#buckets.get(customer.name) ?? {
+				customer,
+				tokens: this.#options.isFirstStart ? customer.burst : 0,
+				ofShare: 0,
+				refilledAt: now,
+				demand: 0,
+				demandAt: now,
+				admitted: 0,
+				told: 0,
+				others: new Map(),
+			}
+		);
 	}
 
-	#computeOverdraft(
-		{name, burst}: SteeringCustomer,
-		{bucket, share}: {readonly bucket: Bucket; readonly share: number},
+	/** This host's part of the rate, and that of all hosts which hear each other. */
+	#computeShare(
+		{customer, demand}: Bucket,
 		now: Milliseconds,
-	): number {
-		const live = this.#options.members.listLive(now);
-		let held = Math.max(0, bucket.tokens);
+	): {readonly share: number; readonly heardPart: number} {
+		const {members} = this.#options;
+		const live = members.listLive(now);
+		const holders = Math.max(live.length, members.listHolders(now).length) + 1;
+		let sum = demand;
 		for (const {digest} of live) {
-			held += digest?.customers?.[name]?.[1] ?? 0;
+			sum += digest?.customers?.[customer.name]?.[0] ?? 0;
 		}
 
-		const spare = Math.max(0, held - burst * keptPart);
-		return spare * share;
+		const even = 1 / holders;
+		const heardPart = (live.length + 1) * even;
+		const byDemand = sum > 0 ? (demand / sum) * heardPart : even;
+		return {
+			share: partByDemand * byDemand + (1 - partByDemand) * even,
+			heardPart,
+		};
 	}
 }
 
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -12,6 +12,8 @@
 const regionInterval: Milliseconds = 100;
 /** Hosts of other regions get digests less often: links between regions cost more. */
 const fleetInterval: Milliseconds = 500;
+/** News that must not wait is told after this time at the earliest. */
+const newsInterval: Milliseconds = 50;
 /** In a region of more hosts than this, each sends less often, so that the sum stays. */
 const hostsAtFullPace = 4;
 /** What servers handled is told for two digests to all hosts, so that one may be lost. */
@@ -49,7 +51,9 @@
 	#sendWhenDue(context: SteeringContext): void {
 		const {now} = context;
 		const {members, settings} = this.#beliefs;
-		if (now - this.#lastInFleet >= fleetInterval) {
+		const isNewsDue =
+			now - this.#lastInFleet >= newsInterval && this.#limits.rates.hasNews();
+		if (isNewsDue || now - this.#lastInFleet >= fleetInterval) {
 			this.#send(true, context);
 			return;
 		}
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -31,7 +31,7 @@
 	handled: z.array(z.tuple([z.string(), z.int()])).optional(),
 	/** Servers, hashes of objects that are new to them, and when the work on these should end. */
 	firstWork: z.array(z.tuple([z.string(), z.int(), z.number()])).optional(),
-	/** For each customer, its requests a second here and the tokens left. */
+	/** For each customer, its requests a second here and those admitted in all. */
 	customers: z
 		.record(z.string(), z.tuple([amountSchema, amountSchema]))
 		.optional(),
--- a/packages/steering/src/limits-plugin.ts
+++ b/packages/steering/src/limits-plugin.ts
@@ -17,12 +17,19 @@
 
 	install(kernel: SteeringKernel): void {
 		const {members, settings} = kernel.inject(beliefsKey);
-		const owners = new ServerOwners(settings.self.name, members);
+		const owners = new ServerOwners(settings.self, members);
+		const rates = new CustomerRates({
+			members,
+			isFirstStart: settings.isFirstStart,
+		});
+		kernel.on('digest-received', ({digest}) => {
+			rates.onDigest(digest);
+		});
+		kernel.on('configuration-read', ({configuration}, {now}) => {
+			rates.define(configuration.customers, now);
+		});
 		kernel.provide(limitsKey, {
-			rates: new CustomerRates({
-				members,
-				isFirstStart: settings.isFirstStart,
-			}),
+			rates,
 			repeats: new RepeatBudget({
 				ratio: settings.repeatRatio,
 				allowance: settings.repeatAllowance,
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -74,6 +74,11 @@
 		return true;
 	}
 
+	/** Whether it is the last digest that was taken of its host. */
+	isNewest(digest: Digest): boolean {
+		return this.#members.get(digest.name)?.digest === digest;
+	}
+
 	/** Nothing is known of others after this process stood still. */
 	onSuspended(): void {
 		for (const [name, member] of this.#members) {
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -197,7 +197,7 @@
 			!tried.has(server.id) &&
 			(homeRegions.length === 0 || homeRegions.includes(server.region)) &&
 			(!state.isCold(now) ||
-				this.#limits.cold.hasRoom(server.id, this.#getColdRate(state), now))
+				this.#limits.cold.hasRoom(server, this.#getColdRate(state), now))
 		);
 	}
 
@@ -231,7 +231,7 @@
 		const mayCopy = (state: ServerState) =>
 			!isKnownSomewhere ||
 			pressure < copyPressure ||
-			this.#limits.owners.isOwner(state.server.id, now);
+			this.#limits.owners.isOwner(state.server, now);
 		const ranks = new Map<string, number>();
 		let best: Weighed | undefined;
 		for (const state of states) {
@@ -272,11 +272,11 @@
 		const {slots} = state.server;
 		const load = state.computeLoad(now);
 		const wait = (Math.max(0, load - slots + 1) * warm) / slots;
-		const slowness =
-			state.computeSlowness(now) * (state.isSuspect ? suspectFactor : 1);
+		const slowness = state.computeSlowness(now);
+		const doubt = state.isSuspect ? suspectFactor : 1;
 		const way = this.#delays.compute(state.server, bodyBytes);
 		const time = way + (knownIn ?? 0) + (wait + work) * slowness;
-		const cost = time + work * slowness * toSlotWeight(pressure);
+		const cost = (time + work * slowness * toSlotWeight(pressure)) * doubt;
 		return {state, load, way, wait, work, isKnown, knownIn, time, cost};
 	}
 
--- a/packages/steering/src/server-owners.ts
+++ b/packages/steering/src/server-owners.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@parsleyvale/shared';
 import {computeHash} from './hash.js';
 import type {Members} from './members.js';
+import type {BackendServer, SteeringHost} from './model.js';
 
 /** An owner is looked for again after this time: hosts come and go in seconds. */
 const ownerLifetime: Milliseconds = 300;
@@ -12,28 +13,53 @@
  * what must not be done by several at once.
  */
 export class ServerOwners {
-	readonly #self: string;
+	readonly #self: SteeringHost;
 	readonly #members: Members;
 	readonly #owners = new Map<string, Owner>();
 
-	constructor(self: string, members: Members) {
+	constructor(self: SteeringHost, members: Members) {
 		this.#self = self;
 		this.#members = members;
 	}
 
-	/** Whether this host is the server's owner. */
-	isOwner(serverId: string, now: Milliseconds): boolean {
-		const known = this.#owners.get(serverId);
+	/** Whether this host is the server's owner among all hosts. */
+	isOwner({id}: BackendServer, now: Milliseconds): boolean {
+		return this.#isFirst(id, undefined, now);
+	}
+
+	/** Whether it is the owner among those of the server's region, if there are any. */
+	isOwnerInRegion({id, region}: BackendServer, now: Milliseconds): boolean {
+		return this.#isFirst(id, region, now);
+	}
+
+	#isFirst(id: string, region: string | undefined, now: Milliseconds): boolean {
+		const key = `${id} ${region ?? ''}`;
+		const known = this.#owners.get(key);
 		if (known !== undefined && now - known.at < ownerLifetime) {
 			return known.isSelf;
 		}
 
-		const own = computeHash(`${serverId}/${this.#self}`);
-		const isSelf = this.#members
+		const isSelf = this.#self.name === this.#findOwner(id, region, now);
+		this.#owners.set(key, {isSelf, at: now});
+		return isSelf;
+	}
+
+	#findOwner(
+		id: string,
+		region: string | undefined,
+		now: Milliseconds,
+	): string {
+		const others = this.#members
 			.listLive(now)
 			.filter(({digest}) => digest?.isReady === true)
-			.every(({host}) => computeHash(`${serverId}/${host.name}`) < own);
-		this.#owners.set(serverId, {isSelf, at: now});
-		return isSelf;
+			.map(({host}) => host);
+		const hosts = [this.#self, ...others];
+		const near = hosts.filter((host) => host.region === region);
+		const weights = (near.length > 0 ? near : hosts).map(({name}) => ({
+			name,
+			weight: computeHash(`${id}/${name}`),
+		}));
+		weights.sort((a, b) => b.weight - a.weight);
+		return weights[0]!.name;
 	}
 }
