Let a host of a large fleet gather a whole repeat

Cause: a host's part of the allowance of 222 repeats is 0.85 at 91 hosts, and the account was capped at that plus one request's earnings (0.99), so that no host could ever send a request once more. Ruled out: the allowance itself, which is enough at 70 hosts with 180 (1.04). Before: the new test of a host that served 20 requests is refused its repeat. After: it passes, and all 91 hosts together stay within ratio and allowance.

--- a/packages/steering/__tests__/limits.test.ts
+++ b/packages/steering/__tests__/limits.test.ts
@@ -115,6 +115,34 @@
 	});
 });
 
+describe('repeats in a fleet of 91 hosts', () => {
+	const options = {ratio: 0.2, allowance: 222, window: 10_000};
+
+	it('are possible at a host that serves few requests', () => {
+		const budget = new RepeatBudget(options);
+		for (let index = 0; index < 20; index++) {
+			budget.onRequest('desk', 91, index * 100);
+		}
+
+		expect(budget.take('desk', 91, 2000)).toEqual(true);
+	});
+
+	it('stay within the bound when all hosts spend all that they have', () => {
+		let taken = 0;
+		let requests = 0;
+		for (let host = 0; host < 91; host++) {
+			const budget = new RepeatBudget(options);
+			for (let at = 0; at < 10_000; at += 100) {
+				budget.onRequest('desk', 91, at);
+				requests += 1;
+				taken += budget.take('desk', 91, at) ? 1 : 0;
+			}
+		}
+
+		expect(taken).toBeLessThanOrEqual(requests * 0.2 + 222);
+	});
+});
+
 describe('repeats', () => {
 	it('stay within their ratio and allowance in every window, over all hosts', () => {
 		const hosts = 10;
--- a/packages/steering/__tests__/support/fleet-bench.ts
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -71,6 +71,12 @@
 	}> = [];
 
 	readonly #works = new Map<string, {work: Work; server: VirtualServer}>();
+	readonly #hostsByName = new Map<string, Host>();
+	/** Messages between hosts so far, each to one host. */
+	messagesSent = 0;
+	/** Their bytes, and those that went to another region. */
+	bytesSent = 0;
+	bytesBetweenRegions = 0;
 	#requests = 0;
 
 	constructor(options: BenchOptions) {
@@ -247,14 +253,19 @@
 			}
 
 			case 'send-digest': {
+				const bytes = JSON.stringify(effect.digest).length;
+				const from = this.#hostsByName.get(kernel.self.name);
 				for (const {peerAddress} of effect.to) {
-					const to = this.hosts.find(({host}) => host.name === peerAddress);
+					const to = this.#hostsByName.get(peerAddress);
+					const isNear = to?.host.region === kernel.self.region;
+					this.messagesSent += 1;
+					this.bytesSent += bytes;
+					this.bytesBetweenRegions += isNear ? 0 : bytes;
 					const delay = this.#toDelay(
 						to?.host.region ?? '',
 						kernel.self.region,
 					);
 					this.schedule(now + delay, () => {
-						const from = this.hosts.find(({kernel: other}) => other === kernel);
 						if (to?.isUp && !to.isCut && from?.isUp && !from.isCut) {
 							this.handle(to.kernel, {
 								type: 'digest-received',
@@ -389,6 +400,7 @@
 		});
 		const entry: Host = {host, kernel, isUp: true, isCut: false};
 		this.hosts.push(entry);
+		this.#hostsByName.set(name, entry);
 		this.#scheduleTick(entry, this.random() * tickInterval);
 	}
 
@@ -419,6 +431,7 @@
 	regions: readonly string[],
 	streams: readonly Stream[],
 	span: {readonly from: Milliseconds; readonly to: Milliseconds},
+	isShared = false,
 ): void {
 	for (const stream of streams) {
 		const {perSecond, objects, ...rest} = stream;
@@ -430,7 +443,8 @@
 			}
 
 			const region = regions[Math.floor(bench.random() * regions.length)]!;
-			const affinity = `${region}/${Math.floor(bench.random() * objects)}`;
+			const owner = isShared ? 'all' : region;
+			const affinity = `${owner}/${Math.floor(bench.random() * objects)}`;
 			bench.schedule(at, () => {
 				bench.send({...rest, region, affinity});
 			});
--- a/packages/steering/src/repeat-budget.ts
+++ b/packages/steering/src/repeat-budget.ts
@@ -11,6 +11,9 @@
 /** Part of the bound that is used; the rest covers windows that lie badly. */
 const usedPart = 0.7;
 
+/** In a large fleet a host's part of the allowance is less than one repeat: what it earns still gathers up to one. */
+const wholeRepeat = 1;
+
 type Account = {repeats: number; refilledAt: Milliseconds};
 
 /** How often requests may be sent once more, for each service. */
@@ -25,10 +28,9 @@
 	/** A request arrived for the service. */
 	onRequest(service: string, hosts: number, now: Milliseconds): void {
 		const account = this.#refill(service, hosts, now);
-		account.repeats = Math.min(
-			this.#computeMost(hosts) + this.#options.ratio * usedPart,
-			account.repeats + this.#options.ratio * usedPart,
-		);
+		const earned = this.#options.ratio * usedPart;
+		const most = Math.max(wholeRepeat, this.#computeMost(hosts) + earned);
+		account.repeats = Math.min(most, account.repeats + earned);
 	}
 
 	/** Takes one repeat, if there is one. */
