Choose among few servers, found by the object and not by a loop over all

Cause: each choice filtered and weighed all servers of a service (342), once for each waiting request at each digest (108 a second); cached orders held all servers of up to 4,096 objects. Change: an object's order keeps six servers of each region; servers that have an object at hand are found by it; draining and evacuated servers leave the order. A server counts as unused only if it never had work: with digests of 1.8 s the old 1.5 s sent objects to servers that did not know them.

--- a/packages/steering/src/beliefs-plugin.ts
+++ b/packages/steering/src/beliefs-plugin.ts
@@ -68,7 +68,7 @@
 		kernel.on('tick', (_event, context) => {
 			const {fleet, members} = this.#beliefs;
 			for (const name of members.listSilent(context.now)) {
-				fleet.applyLoad(name, {}, context.now);
+				fleet.applyLoad(name, {});
 			}
 
 			const gone = fleet.removeMissing(context.now);
@@ -172,7 +172,7 @@
 			fleet.states.get(id)?.onOthersFirst(object, context.now + left);
 		}
 
-		fleet.applyLoad(digest.name, digest.inFlight ?? {}, context.now);
+		fleet.applyLoad(digest.name, digest.inFlight ?? {});
 	}
 
 	#onSuspended(context: SteeringContext): void {
--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -1,7 +1,8 @@
 import type {Milliseconds} from '@parsleyvale/shared';
-import {computeHash} from './hash.js';
+import {KnownObjects} from './known-objects.js';
 import type {BackendServer} from './model.js';
 import {ServerState} from './server-state.js';
+import {ServicePool} from './service-pool.js';
 
 /** What changed between two lists of servers. */
 export type FleetChange = {
@@ -18,52 +19,10 @@
 	readonly evacuated: readonly string[];
 };
 
-/** Preference orders that are kept for each service. */
-const rememberedOrders = 4096;
-
-/** The servers of one service, and the order in which objects prefer them. */
-export class ServicePool {
-	readonly #servers: ServerState[] = [];
-	readonly #orders = new Map<string, readonly ServerState[]>();
-
-	get servers(): readonly ServerState[] {
-		return this.#servers;
-	}
-
-	set(servers: readonly ServerState[]): void {
-		this.#servers.length = 0;
-		this.#servers.push(...servers);
-		this.#orders.clear();
-	}
-
-	/**
-	 * Servers in the order of their highest random weight for the object: the
-	 * same on all hosts, and little changed when servers come and go.
-	 */
-	rank(object: string): readonly ServerState[] {
-		const known = this.#orders.get(object);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const order = this.#servers
-			.map((state) => ({
-				state,
-				weight: computeHash(`${state.server.id}/${object}`),
-			}))
-			.sort((a, b) => b.weight - a.weight)
-			.map(({state}) => state);
-		if (this.#orders.size >= rememberedOrders) {
-			this.#orders.clear();
-		}
-
-		this.#orders.set(object, order);
-		return order;
-	}
-}
-
 /** All backend servers that this host knows. */
 export class Fleet {
+	/** Servers by the objects that they have at hand. */
+	readonly known = new KnownObjects();
 	#revision = -1;
 	#evacuationsRevision = -1;
 	#evacuated: ReadonlySet<string> = new Set();
@@ -108,6 +67,8 @@
 			state.isEvacuated = this.#evacuated.has(state.server.failureDomain);
 		}
 
+		this.#rebuildPools();
+
 		return changes;
 	}
 
@@ -122,17 +83,13 @@
 	}
 
 	/** Takes the requests of another host that run at each server. */
-	applyLoad(
-		host: string,
-		inFlight: Readonly<Record<string, number>>,
-		now: Milliseconds,
-	): void {
+	applyLoad(host: string, inFlight: Readonly<Record<string, number>>): void {
 		for (const [id, count] of Object.entries(this.#loads.get(host) ?? {})) {
-			this.#addLoad(id, -count, now);
+			this.#addLoad(id, -count);
 		}
 
 		for (const [id, count] of Object.entries(inFlight)) {
-			this.#addLoad(id, count, now);
+			this.#addLoad(id, count);
 		}
 
 		this.#loads.set(host, inFlight);
@@ -142,11 +99,11 @@
 		return this.#pools.get(service);
 	}
 
-	#addLoad(id: string, count: number, now: Milliseconds): void {
+	#addLoad(id: string, count: number): void {
 		const state = this.#states.get(id);
 		if (state !== undefined) {
 			state.othersInFlight = Math.max(0, state.othersInFlight + count);
-			state.usedAt = now;
+			state.isUsed = true;
 		}
 	}
 
@@ -165,10 +122,6 @@
 			}
 		}
 
-		if (changes.length > 0) {
-			this.#rebuildPools();
-		}
-
 		return changes;
 	}
 
@@ -185,6 +138,7 @@
 		const changes: FleetChange[] = [];
 		for (const [id, {server, missingUntil}] of this.#states) {
 			if (missingUntil !== undefined && missingUntil <= now) {
+				this.#states.get(id)?.forgetObjects();
 				this.#states.delete(id);
 				changes.push({server, change: 'left'});
 			}
@@ -201,7 +155,8 @@
 		const isRestarted =
 			state !== undefined && state.server.incarnation !== server.incarnation;
 		if (state === undefined || isRestarted) {
-			this.#states.set(server.id, new ServerState(server, now));
+			state?.forgetObjects();
+			this.#states.set(server.id, new ServerState(server, now, this.known));
 			return isRestarted ? 'restarted' : 'joined';
 		}
 
@@ -221,6 +176,10 @@
 	#rebuildPools(): void {
 		const byService = new Map<string, ServerState[]>();
 		for (const state of this.#states.values()) {
+			if (state.server.isDraining || state.isEvacuated) {
+				continue;
+			}
+
 			const ofService = byService.get(state.server.service) ?? [];
 			ofService.push(state);
 			byService.set(state.server.service, ofService);
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -33,16 +33,12 @@
 const copyUtilization = 0.7;
 /** Work of an unknown object varies: so much of it must fit before the deadline. */
 const unknownMargin = 1.4;
-/** A server without work for this long gets the next request that prefers it. */
-const unusedTime: Milliseconds = 1500;
 /** A server that failed last is weighed as if it took so much longer. */
 const suspectFactor = 2;
 
 export type PlaceRequest = {
 	readonly route: SteeringRoute;
 	readonly service: string;
-	/** Undefined: any server is as good. */
-	readonly object: string;
 	readonly objectHash: number;
 	/** Regions that may serve it; empty: all. */
 	readonly homeRegions: readonly string[];
@@ -79,6 +75,9 @@
 	readonly knownIn: Milliseconds | undefined;
 };
 
+/** A server that may take the request, and its rank in the object's order among its region's. */
+type Candidate = {readonly state: ServerState; readonly rank: number};
+
 type Weighed = {
 	/** Until the server knows the object; undefined: send at once. */
 	readonly knownIn: Milliseconds | undefined;
@@ -121,19 +120,14 @@
 		request: PlaceRequest,
 		now: Milliseconds,
 	): Result<Place, PlaceProblem> {
-		const order = this.#beliefs.fleet
-			.findPool(request.service)
-			?.rank(request.object);
-		const usable = (order ?? []).filter((state) =>
-			this.#isAllowed(state, request, now),
-		);
-		if (usable.length === 0) {
+		const candidates = this.#listCandidates(request, now);
+		if (candidates.length === 0) {
 			return Result.err({kind: ErrorKind.NoServer, knownIn: undefined});
 		}
 
 		const best =
-			this.#findUnused(usable, request, now) ??
-			this.#findBest(usable, request, now);
+			this.#findUnused(candidates, request, now) ??
+			this.#findBest(candidates, request, now);
 		if (best === undefined) {
 			return Result.err({kind: ErrorKind.NoRoom, knownIn: undefined});
 		}
@@ -142,7 +136,7 @@
 			return Result.err({kind: ErrorKind.NoRoom, knownIn: best.knownIn});
 		}
 
-		return Result.ok(this.#take(best, request, usable.length, now));
+		return Result.ok(this.#take(best, request, candidates.length, now));
 	}
 
 	/** Takes what an attempt showed of its server. */
@@ -186,6 +180,56 @@
 		return this.#handled.map(({server, objectHash}) => [server, objectHash]);
 	}
 
+	/**
+	 * The first servers of each region in the object's order, and those that
+	 * have it at hand. All servers are looked through only where none of these
+	 * may be used.
+	 */
+	#listCandidates(request: PlaceRequest, now: Milliseconds): Candidate[] {
+		const {fleet} = this.#beliefs;
+		const pool = fleet.findPool(request.service);
+		if (pool === undefined) {
+			return [];
+		}
+
+		const candidates = this.#listFirst(
+			pool.rank(request.objectHash),
+			request,
+			now,
+		);
+		const ranked = new Set(candidates.map(({state}) => state));
+		for (const state of fleet.known.list(request.objectHash)) {
+			const isNew =
+				!ranked.has(state) && state.server.service === request.service;
+			if (isNew && this.#isAllowed(state, request, now)) {
+				candidates.push({state, rank: weighedOfRegion});
+			}
+		}
+
+		return candidates.length > 0
+			? candidates
+			: this.#listFirst(pool.servers, request, now);
+	}
+
+	#listFirst(
+		states: readonly ServerState[],
+		request: PlaceRequest,
+		now: Milliseconds,
+	): Candidate[] {
+		const candidates: Candidate[] = [];
+		const ranks = new Map<string, number>();
+		for (const state of states) {
+			const {region} = state.server;
+			const rank = ranks.get(region) ?? 0;
+			if (rank < weighedOfRegion && this.#isAllowed(state, request, now)) {
+				ranks.set(region, rank + 1);
+				candidates.push({state, rank});
+			}
+		}
+
+		return candidates;
+	}
+
 	#isAllowed(
 		state: ServerState,
 		{homeRegions, tried}: PlaceRequest,
@@ -202,46 +246,38 @@
 	}
 
 	/**
-	 * The first server of this region in the object's order, if it has had no
-	 * work of late: a server that joined would else wait for the others to be
-	 * full, since none of its objects is known there.
+	 * The first server of this region in the object's order, if it has never
+	 * had work: a server that joined would else wait for the others to be full,
+	 * since none of its objects is known there.
 	 */
 	#findUnused(
-		states: readonly ServerState[],
+		candidates: readonly Candidate[],
 		request: PlaceRequest,
 		now: Milliseconds,
 	): Weighed | undefined {
 		const {region} = this.#beliefs.settings.self;
-		const first = states.find(({server}) => server.region === region);
-		return first !== undefined && now - first.usedAt > unusedTime
+		const first = candidates.find(({state}) => state.server.region === region);
+		return first?.rank === 0 && !first.state.isUsed
 			? this.#findBest([first], request, now)
 			: undefined;
 	}
 
 	#findBest(
-		states: readonly ServerState[],
+		candidates: readonly Candidate[],
 		request: PlaceRequest,
 		now: Milliseconds,
 	): Weighed | undefined {
 		const pool = this.#beliefs.fleet.findPool(request.service);
 		const utilization = this.#utilization.compute(request.service, pool, now);
-		const isKnownSomewhere = states.some((state) =>
+		const isKnownSomewhere = candidates.some(({state}) =>
 			state.hasHandled(request.objectHash),
 		);
 		const mayCopy = (state: ServerState) =>
 			!isKnownSomewhere ||
 			utilization < copyUtilization ||
 			this.#limits.owners.isOwner(state.server, now);
-		const ranks = new Map<string, number>();
 		let best: Weighed | undefined;
-		for (const state of states) {
-			const {region} = state.server;
-			const rank = ranks.get(region) ?? 0;
-			ranks.set(region, rank + 1);
-			if (rank >= weighedOfRegion && !state.hasHandled(request.objectHash)) {
-				continue;
-			}
-
+		for (const {state, rank} of candidates) {
 			const weighed = this.#weigh(state, request, {rank, utilization}, now);
 			const isBetter = best === undefined || weighed.cost < best.cost;
 			const isAllowed = weighed.isKnown || mayCopy(state);
--- a/packages/steering/src/pool-utilization.ts
+++ b/packages/steering/src/pool-utilization.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@parsleyvale/shared';
-import type {ServicePool} from './fleet.js';
+import type {ServicePool} from './service-pool.js';
 
 /** A reading is used for this long: a tick. */
 const readingLifetime: Milliseconds = 50;
--- a/packages/steering/src/requests-plugin.ts
+++ b/packages/steering/src/requests-plugin.ts
@@ -41,9 +41,6 @@
 		kernel.on('fleet-listed', (_event, context) => {
 			life.serveAll(context);
 		});
-		kernel.on('digest-received', (_event, context) => {
-			life.serveAll(context);
-		});
 		kernel.on('tick', (_event, context) => {
 			life.onTick(context);
 		});
--- a/packages/steering/src/server-owners.ts
+++ b/packages/steering/src/server-owners.ts
@@ -55,11 +55,17 @@
 			.map(({host}) => host);
 		const hosts = [this.#self, ...others];
 		const near = hosts.filter((host) => host.region === region);
-		const weights = (near.length > 0 ? near : hosts).map(({name}) => ({
-			name,
-			weight: computeHash(`${id}/${name}`),
-		}));
-		weights.sort((a, b) => b.weight - a.weight);
-		return weights[0]!.name;
+		const idHash = computeHash(id);
+		let owner = '';
+		let most = -1;
+		for (const {name} of near.length > 0 ? near : hosts) {
+			const weight = computeHash(name, idHash);
+			if (weight > most) {
+				owner = name;
+				most = weight;
+			}
+		}
+
+		return owner;
 	}
 }
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -1,5 +1,6 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
 import type {ReportedLoad} from './event.js';
+import type {KnownObjects} from './known-objects.js';
 import type {BackendServer} from './model.js';
 
 /** How long a reported load says something of the present; about one answer's work. */
@@ -28,8 +29,8 @@
 export class ServerState {
 	coldUntil: Milliseconds;
 	readonly running = new Set<Running>();
-	/** When it was last known to have work. */
-	usedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	/** Whether it has had work of this host or, as far as heard, of others. */
+	isUsed = false;
 	isEvacuated = false;
 	/** Until when its missing entry may come back; undefined: it is listed. */
 	missingUntil: Milliseconds | undefined;
@@ -47,10 +48,14 @@
 	/** Hashes of the objects that it handled last, the latest at the end. */
 	readonly #objects = new Set<number>();
 
+	readonly #known: KnownObjects;
+
 	constructor(
 		public server: BackendServer,
 		now: Milliseconds,
+		known: KnownObjects,
 	) {
+		this.#known = known;
 		this.coldUntil = now + server.coldRemainingMs;
 	}
 
@@ -126,7 +131,7 @@
 
 	onSent(running: Running): void {
 		this.running.add(running);
-		this.usedAt = running.sentAt;
+		this.isUsed = true;
 	}
 
 	onAnswered(running: Running, object: number, now: Milliseconds): void {
@@ -168,9 +173,20 @@
 	onHandled(object: number): void {
 		this.#objects.delete(object);
 		this.#objects.add(object);
+		this.#known.add(object, this);
 		if (this.#objects.size > objectsAtHand) {
 			const [oldest] = this.#objects;
 			this.#objects.delete(oldest!);
+			this.#known.remove(oldest!, this);
 		}
 	}
+
+	/** The server has left: nobody finds it by an object any more. */
+	forgetObjects(): void {
+		for (const object of this.#objects) {
+			this.#known.remove(object, this);
+		}
+
+		this.#objects.clear();
+	}
 }
