Name hosts with large processors to callers

Cause: a grown fleet has hosts of 0.27 and of 1.35 cores; callers choose at random among those named, so that 85 in 100 requests went through small ones, each of which saw a server once in 20 s and kept its own idle connections. Change: hosts tell their capacity; a look-up names those with at least half of the largest processor, and others while there are fewer than two. Ruled out: naming all and weighting them, since the platform's callers choose evenly. Small sites have hosts of one size: nothing changes there.

--- a/packages/steering/__tests__/beliefs.test.ts
+++ b/packages/steering/__tests__/beliefs.test.ts
@@ -210,6 +210,24 @@
 		expect(answer!.callers).toEqual(['127.0.0.1:1', '127.0.0.2:1']);
 	});
 
+	it('names the hosts with large processors, and at least two', () => {
+		const session = new KernelSession();
+		session.begin(servers);
+		const tell = (name: string, capacity: number, sequence = 1) => {
+			const callers = `${name}:1`;
+			const digest = createDigest({name, callers, capacity, sequence});
+			session.handle({type: 'digest-received', digest});
+		};
+
+		tell('large-1', 5);
+		const [oneLarge] = session.take('answer-look-up', lookUp);
+		expect(oneLarge!.callers).toEqual(['large-1:1', '127.0.0.1:1']);
+		tell('large-2', 4.8);
+		tell('small', 1);
+		const [twoLarge] = session.take('answer-look-up', lookUp);
+		expect(twoLarge!.callers).toEqual(['large-1:1', 'large-2:1']);
+	});
+
 	it('leaves out hosts that are silent, not ready, or stopping', () => {
 		const session = new KernelSession();
 		session.begin(servers);
--- a/packages/steering/__tests__/support/fleet-bench.ts
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -384,6 +384,7 @@
 			region,
 			failureDomain: `${region}-a`,
 			callers: '127.0.0.1:1',
+			capacity: 1,
 			peerAddress: name,
 			peerPort: 1,
 		};
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -134,6 +134,7 @@
 			region: self.region,
 			failureDomain: self.failureDomain,
 			callers: self.callers,
+			capacity: self.capacity,
 			address: self.peerAddress,
 			port: self.peerPort,
 			isReady,
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -14,6 +14,8 @@
 	region: z.string(),
 	failureDomain: z.string(),
 	callers: z.string(),
+	/** What its processor can do, in cores. */
+	capacity: z.number().positive(),
 	address: z.string(),
 	port: z.int(),
 	/** Whether callers may be sent to the host. */
--- a/packages/steering/src/look-up-plugin.ts
+++ b/packages/steering/src/look-up-plugin.ts
@@ -5,6 +5,9 @@
 import type {SteeringHost} from './model.js';
 import type {SteeringContext, SteeringKernel} from './types.js';
 
+/** A caller of which one host fails needs another at once. */
+const hostsToChooseFrom = 2;
+
 /** Tells callers which hosts to use. */
 export class SteeringLookUpPlugin extends Plugin<
 	SteeringEvent,
@@ -25,7 +28,8 @@
 
 	/**
 	 * Hosts of the caller's region, so that a body goes to no region that is
-	 * not its own; others only where it has none.
+	 * not its own; others only where it has none. Among them the ones with the
+	 * largest processors, since callers choose at random among those named.
 	 */
 	#answer(
 		{lookUpId, region, failureDomain}: SteeringEventOf<'look-up-arrived'>,
@@ -43,7 +47,7 @@
 		context.emit({
 			type: 'answer-look-up',
 			lookUpId,
-			callers: hosts.map(({callers}) => callers),
+			callers: chooseLargest(hosts).map(({callers}) => callers),
 		});
 	}
 
@@ -57,5 +61,14 @@
 	}
 }
 
-/** A caller of which one host fails needs another at once. */
-const hostsToChooseFrom = 2;
+/** Hosts with at least this part of the largest processor are as good. */
+const partOfLargest = 0.5;
+
+/** Hosts with large processors, and others while these are too few. */
+function chooseLargest(hosts: readonly SteeringHost[]): SteeringHost[] {
+	const sorted = [...hosts].sort((a, b) => b.capacity - a.capacity);
+	const least = (sorted[0]?.capacity ?? 0) * partOfLargest;
+	return sorted.filter(
+		({capacity}, index) => capacity >= least || index < hostsToChooseFrom,
+	);
+}
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -149,6 +149,7 @@
 		region: digest.region,
 		failureDomain: digest.failureDomain,
 		callers: digest.callers,
+		capacity: digest.capacity,
 		peerAddress: digest.address,
 		peerPort: digest.port,
 	};
--- a/packages/steering/src/model.ts
+++ b/packages/steering/src/model.ts
@@ -94,6 +94,8 @@
 	failureDomain: nameSchema,
 	/** Where callers connect, as address and port. */
 	callers: nameSchema,
+	/** What its processor can do, in cores; hosts of a fleet differ. */
+	capacity: z.number().positive().default(1),
 	/** Address of the messages between hosts. */
 	peerAddress: nameSchema,
 	peerPort: z.int().positive(),
