Begin a customer's bucket after a restart with half of what is tolerated

A host takes no more of the common tokens than others can have heard of, so that many hosts cannot take the same ones.

--- a/packages/steering/__tests__/support/kernel-session.ts
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -80,6 +80,7 @@
 			repeatRatio: 0.2,
 			repeatAllowance: 60,
 			repeatWindow: 10_000,
+			rateTolerance: {window: 5000, part: 0.1, requests: 20},
 			stopBound: 6000,
 			random: () => 0.5,
 			...settings,
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -2,6 +2,7 @@
 import type {Digest} from './digest.js';
 import type {Members} from './members.js';
 import type {SteeringCustomer} from './model.js';
+import type {RateTolerance} from './settings.js';
 
 /** Time over which a host's demand is averaged: two digests to all hosts. */
 const demandSpan: Milliseconds = second;
@@ -16,6 +17,8 @@
 const sharedPart = 0.4;
 /** Above this part of the burst, counts are told with the regular digests. */
 const quietPart = 0.7;
+/** Reports that may be due, on their way or lost. */
+const reportsOnTheWay = 3;
 /** Tokens that a host's share gathers, so that a pair of requests fits. */
 const mostOfShare = 2;
 
@@ -40,8 +43,9 @@
 
 export type CustomerRatesOptions = {
 	readonly members: Members;
-	/** Whether buckets begin full; those of a restarted host begin empty. */
+	/** Whether buckets begin full; a restarted host does not know what was admitted before. */
 	readonly isFirstStart: boolean;
+	readonly tolerance: RateTolerance;
 };
 
 /**
@@ -71,7 +75,9 @@
 
 		const bucket = this.#refill(customer, now);
 		bucket.demand += second / demandSpan;
-		const isFree = bucket.tokens > burst * sharedPart;
+		const isFree =
+			bucket.tokens > burst * sharedPart &&
+			bucket.admitted - bucket.reported < this.#computeMostUnreported(burst);
 		if (bucket.tokens >= 1 && (isFree || bucket.ofShare >= 1)) {
 			bucket.tokens -= 1;
 			bucket.ofShare = Math.max(0, bucket.ofShare - 1);
@@ -83,6 +89,13 @@
 		return (missing / ratePerSecond) * second;
 	}
 
+	/** What a host may take of the shared part before others have heard of it. */
+	#computeMostUnreported(burst: number): number {
+		const {members} = this.#options;
+		const hosts = members.listActive(0).length + 1;
+		return Math.max(1, (burst * sharedPart) / hosts) * reportsOnTheWay;
+	}
+
 	/** Gives a token back for a request that no server ran. */
 	giveBack({name, burst}: SteeringCustomer): void {
 		const bucket = this.#buckets.get(name);
@@ -116,7 +129,7 @@
 
 	/** Whether others should hear at once of what was admitted here. */
 	hasUnreported(): boolean {
-		const hosts = this.#options.members.listKnown().length + 1;
+		const hosts = this.#options.members.listActive(0).length + 1;
 		for (const {
 			customer,
 			tokens,
@@ -177,7 +190,7 @@
 		return (
 			this.#buckets.get(customer.name) ?? {
 				customer,
-				tokens: this.#options.isFirstStart ? customer.burst : 0,
+				tokens: this.#computeFirstTokens(customer),
 				ofShare: 0,
 				refilledAt: now,
 				demand: 0,
@@ -189,6 +202,21 @@
 		);
 	}
 
+	/**
+	 * After a restart, half of what may go beyond the limit: before, the
+	 * customer may have had all that it is owed.
+	 */
+	#computeFirstTokens({ratePerSecond, burst}: SteeringCustomer): number {
+		const {isFirstStart, tolerance} = this.#options;
+		if (isFirstStart) {
+			return burst;
+		}
+
+		const {window, part, requests} = tolerance;
+		const owed = (ratePerSecond * window) / second + burst;
+		return Math.min(burst, (part * owed + requests) / 2);
+	}
+
 	/** This host's part of the rate, and that of all hosts which hear each other. */
 	#computeShare(
 		{customer, demand}: Bucket,
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -10,5 +10,5 @@
 	SteeringOutcome,
 } from './event.js';
 export * from './model.js';
-export type {SteeringSettings} from './settings.js';
+export type {RateTolerance, SteeringSettings} from './settings.js';
 export type {SteeringContext, SteeringKernel} from './types.js';
--- a/packages/steering/src/limits-plugin.ts
+++ b/packages/steering/src/limits-plugin.ts
@@ -21,6 +21,7 @@
 		const rates = new CustomerRates({
 			members,
 			isFirstStart: settings.isFirstStart,
+			tolerance: settings.rateTolerance,
 		});
 		kernel.on('digest-received', ({digest}) => {
 			rates.onDigest(digest);
--- a/packages/steering/src/settings.ts
+++ b/packages/steering/src/settings.ts
@@ -1,6 +1,14 @@
 import type {Milliseconds} from '@parsleyvale/shared';
 import type {SteeringHost} from './model.js';
 
+export type RateTolerance = {
+	readonly window: Milliseconds;
+	/** Part of the rate over the window and of the burst. */
+	readonly part: number;
+	/** Requests besides. */
+	readonly requests: number;
+};
+
 /** What an operator's platform says of this host and of the bounds to keep. */
 export type SteeringSettings = {
 	readonly self: SteeringHost;
@@ -15,6 +23,8 @@
 	/** Repeats that are allowed besides, in each window. */
 	readonly repeatAllowance: number;
 	readonly repeatWindow: Milliseconds;
+	/** What a customer may get beyond its rate and burst in a window, over the whole fleet. */
+	readonly rateTolerance: RateTolerance;
 	/** Time in which a stop must be over. */
 	readonly stopBound: Milliseconds;
 	/** Uniform numbers from 0 to below 1. */
