--- a/packages/platform/src/store-connection.ts
+++ b/packages/platform/src/store-connection.ts
@@ -1,7 +1,8 @@
+import {Buffer} from 'node:buffer';
+import {Agent, request, type IncomingMessage} from 'node:http';
 import type {Milliseconds} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
-import {Pool} from 'undici';
-import {StoreError, toStoreError} from './store-error.js';
+import {connectTimeoutCode, StoreError, toStoreError} from './store-error.js';
 
 /** One HTTP call to the object API. */
 export type StoreCall = {
@@ -28,15 +29,20 @@
 
 const refusingStatuses: ReadonlySet<number> = new Set([413, 429]);
 
-/** Connections to the object API that are used again. */
+/**
+ * Connections to the object API that are used again. Node's own client: the
+ * memory of another one on each host of a fleet would be paid for a few calls a
+ * second.
+ */
 export class StoreConnection {
-	readonly #pool: Pool;
+	readonly #options: StoreConnectionOptions;
+	readonly #agent: Agent;
 
 	constructor(options: StoreConnectionOptions) {
-		this.#pool = new Pool(options.url, {
-			connections: options.connections,
-			connect: {timeout: options.connectTimeout},
-			pipelining: 1,
+		this.#options = options;
+		this.#agent = new Agent({
+			keepAlive: true,
+			maxSockets: options.connections ?? Number.POSITIVE_INFINITY,
 		});
 	}
 
@@ -47,17 +53,12 @@
 			? AbortSignal.any([timeout, call.signal])
 			: timeout;
 		try {
-			const {statusCode, body} = await this.#pool.request({
-				method: call.method,
-				path: call.path,
-				body: call.body ?? null,
-				headers: call.body ? {'content-type': 'application/json'} : {},
-				signal,
-			});
-			const text = await body.text();
-			return refusingStatuses.has(statusCode)
+			const answer = await this.#exchange(call, signal);
+			const status = answer.statusCode ?? 0;
+			const text = await readText(answer);
+			return refusingStatuses.has(status)
 				? Result.err(StoreError.Refused)
-				: parseAnswer(statusCode, text);
+				: parseAnswer(status, text);
 		} catch (error) {
 			return Result.err(toStoreError(error));
 		}
@@ -65,10 +66,59 @@
 
 	/** Cuts every call that runs. */
 	async close(): Promise<void> {
-		await this.#pool.destroy();
+		this.#agent.destroy();
+	}
+
+	async #exchange(
+		{method, path, body}: StoreCall,
+		signal: AbortSignal,
+	): Promise<IncomingMessage> {
+		return new Promise((resolve, reject) => {
+			const headers =
+				body === undefined
+					? {}
+					: {
+							'content-type': 'application/json',
+							'content-length': Buffer.byteLength(body),
+						};
+			const sent = request(
+				new URL(path, this.#options.url),
+				{method, headers, agent: this.#agent, signal},
+				(answer) => {
+					resolve(answer);
+				},
+			);
+			sent.on('error', reject);
+			sent.on('socket', (socket) => {
+				if (socket.connecting) {
+					const timer = setTimeout(() => {
+						const error = new Error(
+							'The store accepted no connection in time.',
+						);
+						socket.destroy(Object.assign(error, {code: connectTimeoutCode}));
+					}, this.#options.connectTimeout);
+					socket.once('connect', () => {
+						clearTimeout(timer);
+					});
+					socket.once('close', () => {
+						clearTimeout(timer);
+					});
+				}
+			});
+			sent.end(body);
+		});
 	}
 }
 
+async function readText(answer: IncomingMessage): Promise<string> {
+	const chunks: Buffer[] = [];
+	for await (const chunk of answer) {
+		chunks.push(chunk as Buffer);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+}
+
 function parseAnswer(
 	status: number,
 	text: string,
--- a/packages/platform/src/store-error.ts
+++ b/packages/platform/src/store-error.ts
@@ -10,12 +10,15 @@
 	MalformedAnswer = 'malformed-answer',
 }
 
+/** Code of the error that a connection raises which does not stand in time. */
+export const connectTimeoutCode = 'CONNECT_TIMEOUT';
+
 const notReachedCodes: ReadonlySet<unknown> = new Set([
 	'ECONNREFUSED',
-	'UND_ERR_CONNECT_TIMEOUT',
+	connectTimeoutCode,
 ]);
 
-/** The kind of an error that undici raised. */
+/** The kind of an error that Node's client raised. */
 export function toStoreError(error: unknown): StoreError {
 	const code =
 		error instanceof Error && 'code' in error ? error.code : undefined;
