Keep bodies near: weigh a kilobyte on links against a slow run

Change: a kilobyte weighs 20 ms to another region and 14 ms to another failure domain; the order of an object keeps servers of each failure domain, so that there are near ones to choose from.

--- a/packages/steering/__tests__/support/fleet-bench.ts
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -46,6 +46,8 @@
 	/** Times that a server began to work on it. */
 	runs: number;
 	servers: string[];
+	/** Regions of the servers that it was sent to. */
+	serverRegions: string[];
 };
 
 type Host = {
@@ -187,6 +189,7 @@
 		readonly key: string;
 		readonly affinity: string;
 		readonly timeLeft?: Milliseconds;
+		readonly bodyBytes?: number;
 	}): Outcome {
 		const inRegion = this.hosts.filter(
 			({host, isUp}) => isUp && host.region === request.region,
@@ -207,6 +210,7 @@
 			retryAfter: undefined,
 			runs: 0,
 			servers: [],
+			serverRegions: [],
 		};
 		this.outcomes.set(id, outcome);
 		this.handle(host.kernel, {
@@ -217,7 +221,7 @@
 			path: request.path,
 			keyHash: request.key,
 			affinity: request.affinity,
-			bodyBytes: 0,
+			bodyBytes: request.bodyBytes ?? 0,
 			arrivedAt: this.clock.now(),
 			timeLeft: request.timeLeft ?? 4000,
 		});
@@ -294,6 +298,7 @@
 		const {requestId, attempt, server, deadline} = effect;
 		const outcome = this.outcomes.get(requestId)!;
 		outcome.servers.push(server.id);
+		outcome.serverRegions.push(server.region);
 		const delay = this.#toDelay(server.region, kernel.self.region);
 		const virtual = this.servers.get(server.id)!;
 		const work = this.#createWork(outcome, deadline, (status, at) => {
@@ -428,6 +433,7 @@
 	/** Objects of each region. */
 	readonly objects: number;
 	readonly timeLeft: Milliseconds;
+	readonly bodyBytes?: number;
 };
 
 export type StreamSpan = {
--- a/packages/steering/src/delays.ts
+++ b/packages/steering/src/delays.ts
@@ -7,6 +7,14 @@
 const firstBetweenRegions: Milliseconds = 60;
 /** Weight of the newest round trip: about five count. */
 const gain = 0.2;
+/**
+ * Links between regions, and between failure domains, are shared by all traffic:
+ * a kilobyte over them weighs as so much time. An object is asked for again and
+ * again, so that learning it near (once) must be cheaper than a body of 60 KB that
+ * goes far each time: a slow run takes 0.7 to 1.2 s.
+ */
+const perKilobyteBetweenRegions: Milliseconds = 20;
+const perKilobyteBetweenDomains: Milliseconds = 14;
 /** Bytes that a fresh connection carries in one round trip: ten segments. */
 const bytesPerRoundTrip = 14_600;
 
@@ -25,6 +33,22 @@
 		return this.#get(server) * trips;
 	}
 
+	/** What a body weighs on the links to the server, as time. */
+	computeLinkCost(
+		{failureDomain, region}: BackendServer,
+		bodyBytes: number,
+	): Milliseconds {
+		if (failureDomain === this.#self.failureDomain) {
+			return 0;
+		}
+
+		const perKilobyte =
+			region === this.#self.region
+				? perKilobyteBetweenDomains
+				: perKilobyteBetweenRegions;
+		return (bodyBytes / 1000) * perKilobyte;
+	}
+
 	observe(server: BackendServer, roundTrip: Milliseconds): void {
 		const known = this.#get(server);
 		this.#roundTrips.set(
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -10,8 +10,8 @@
 import type {Running, ServerState} from './server-state.js';
 import {WorkTimes} from './work-times.js';
 
-/** Servers of each region that are weighed though none of them knows the object, in the object's order. */
-const weighedOfRegion = 4;
+/** Servers of each failure domain that are weighed though none of them knows the object, in the object's order. */
+const weighedOfDomain = 2;
 /** How likely a server knows an object that no host is known to have sent there: the first in its order, and others. */
 const knownAsFirst = 0.3;
 const knownOtherwise = 0.05;
@@ -80,7 +80,7 @@
 	readonly state: ServerState;
 	/** Whether it is the first of all that may be used. */
 	readonly isFirst: boolean;
-	/** Its rank among those of its region. */
+	/** Its rank among those of its failure domain. */
 	readonly rank: number;
 };
 
@@ -216,7 +216,7 @@
 	}
 
 	/**
-	 * The first servers of each region in the object's order, and those that
+	 * The first servers of each failure domain in the object's order, and those that
 	 * have it at hand. All servers are looked through only where none of these
 	 * may be used.
 	 */
@@ -239,7 +239,7 @@
 				state.server.service === request.service &&
 				state.hasAtHand(request.objectHash);
 			if (isNew && this.#isAllowed(state, request, now)) {
-				candidates.push({state, rank: weighedOfRegion, isFirst: false});
+				candidates.push({state, rank: weighedOfDomain, isFirst: false});
 			}
 		}
 
@@ -256,10 +256,10 @@
 		const candidates: Candidate[] = [];
 		const ranks = new Map<string, number>();
 		for (const state of states) {
-			const {region} = state.server;
-			const rank = ranks.get(region) ?? 0;
-			if (rank < weighedOfRegion && this.#isAllowed(state, request, now)) {
-				ranks.set(region, rank + 1);
+			const {failureDomain} = state.server;
+			const rank = ranks.get(failureDomain) ?? 0;
+			if (rank < weighedOfDomain && this.#isAllowed(state, request, now)) {
+				ranks.set(failureDomain, rank + 1);
 				const isFirst = candidates.length === 0;
 				candidates.push({state, rank, isFirst});
 			}
@@ -351,7 +351,8 @@
 		const way = this.#delays.compute(state.server, bodyBytes);
 		const time = way + (knownIn ?? 0) + (wait + work) * slowness;
 		const slotCost = work * slowness * toSlotWeight(utilization);
-		const cost = (time + slotCost) * suspectWeight;
+		const linkCost = this.#delays.computeLinkCost(state.server, bodyBytes);
+		const cost = (time + slotCost) * suspectWeight + linkCost;
 		return {state, load, way, wait, work, isKnown, knownIn, time, cost};
 	}
 
--- a/packages/steering/src/service-pool.ts
+++ b/packages/steering/src/service-pool.ts
@@ -1,8 +1,8 @@
 import {computeHash} from './hash.js';
 import type {ServerState} from './server-state.js';
 
-/** Servers of each region that are kept of an object's order: more than are weighed, since some may be full or ejected. */
-const keptOfRegion = 6;
+/** Servers of each failure domain that are kept of an object's order: more than are weighed, since some may be cold or ejected. */
+const keptOfDomain = 4;
 /** Objects whose orders are kept for each service: those of a few seconds. */
 const rememberedOrders = 1024;
 
@@ -11,7 +11,7 @@
 /** The servers of one service, and the order in which objects prefer them. */
 export class ServicePool {
 	#servers: readonly ServerState[] = [];
-	readonly #byRegion = new Map<string, ServerState[]>();
+	readonly #byDomain = new Map<string, ServerState[]>();
 	readonly #orders = new Map<number, readonly ServerState[]>();
 
 	get servers(): readonly ServerState[] {
@@ -21,16 +21,17 @@
 	set(servers: readonly ServerState[]): void {
 		this.#servers = servers;
 		this.#orders.clear();
-		this.#byRegion.clear();
+		this.#byDomain.clear();
 		for (const state of servers) {
-			const ofRegion = this.#byRegion.get(state.server.region) ?? [];
-			ofRegion.push(state);
-			this.#byRegion.set(state.server.region, ofRegion);
+			const {failureDomain} = state.server;
+			const ofDomain = this.#byDomain.get(failureDomain) ?? [];
+			ofDomain.push(state);
+			this.#byDomain.set(failureDomain, ofDomain);
 		}
 	}
 
 	/**
-	 * The first servers of each region in the order of their highest random
+	 * The first servers of each failure domain in the order of their highest random
 	 * weight for the object: the same on all hosts, and little changed when
 	 * servers come and go.
 	 */
@@ -40,7 +41,7 @@
 			return known;
 		}
 
-		const order = [...this.#byRegion.values()]
+		const order = [...this.#byDomain.values()]
 			.flatMap((states) => findHeaviest(states, objectHash))
 			.sort((a, b) => b.weight - a.weight)
 			.map(({state}) => state);
@@ -61,13 +62,13 @@
 	for (const state of states) {
 		const weight = computeHash(state.server.id, objectHash);
 		const last = heaviest.at(-1);
-		if (heaviest.length === keptOfRegion && weight <= last!.weight) {
+		if (heaviest.length === keptOfDomain && weight <= last!.weight) {
 			continue;
 		}
 
 		const index = heaviest.findIndex((other) => other.weight < weight);
 		heaviest.splice(index === -1 ? heaviest.length : index, 0, {state, weight});
-		heaviest.length = Math.min(heaviest.length, keptOfRegion);
+		heaviest.length = Math.min(heaviest.length, keptOfDomain);
 	}
 
 	return heaviest;
