Run daemons as processes under seeded faults and check their promises

A soak of our own: daemons with the platform adapter, a proxy with faults on each link to the store and to servers, the store and servers with faults, signals, planned changes beside them; nine promises by what callers and servers saw. Not in it yet: clocks that jump, datagrams between hosts under faults, look-ups, homes, evacuations and cold rates as checks, safeguards switched off in the daemon. A short run of a fixed seed is in npm test.

--- /dev/null
+++ b/packages/soak/__tests__/soak.test.ts
@@ -0,0 +1,44 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {createPlan} from '../src/plan.js';
+import {runSoak} from '../src/soak.js';
+
+/** Seeds that failed once, with what was the cause, stay here. */
+const seeds = [5];
+
+describe('the plan of a soak', () => {
+	it('is the same for a seed, and another one for another', () => {
+		const options = {length: 60_000, daemons: 4, servers: 6};
+		const plan = createPlan({seed: 1, ...options});
+		expect(createPlan({seed: 1, ...options})).toEqual(plan);
+		expect(createPlan({seed: 2, ...options})).not.toEqual(plan);
+	});
+
+	it('has faults of every kind in enough runs', () => {
+		const kinds = new Set(
+			Array.from({length: 20}, (_, seed) =>
+				createPlan({seed, length: 60_000, daemons: 4, servers: 6}),
+			).flatMap((plan) => plan.map(({kind}) => kind)),
+		);
+		expect(kinds.size).toEqual(15);
+	});
+});
+
+describe('daemons under faults', () => {
+	for (const seed of seeds) {
+		it(`keep their promises (seed ${seed})`, async () => {
+			const {violations} = await runSoak({
+				seed,
+				length: 15_000,
+				daemons: 3,
+				servers: 4,
+				folder: mkdtempSync(path.join(tmpdir(), 'soak-')),
+				onProgress: () => undefined,
+			});
+			expect(violations).toEqual([]);
+		});
+	}
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -24,7 +24,7 @@
 		},
 	},
 	{
-		files: ['platform/src/*.ts'],
+		files: ['platform/src/*.ts', 'packages/soak/src/*.ts'],
 		rules: {
 			// The platform's messages spell their fields in their own way.
 			'@typescript-eslint/naming-convention': 'off',
