Let only busy hosts remove entries of hosts that are not heard

Cause: since idle hosts of different regions stopped telling each other of themselves, an idle host with the first name would hold 60 of 90 hosts for gone after 26 s and remove their entries from the store. Ruled out: hosts that hear all (busy ones) do not; they keep the duty. New tests: an idle host removed the entry before, none after; a busy one removes it.

--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -260,7 +260,10 @@
 		};
 	}
 
-	/** The host with the first name of those that live removes old entries. */
+	/**
+	 * The busy host with the first name removes old entries: an idle one does
+	 * not hear idle hosts of other regions, which live all the same.
+	 */
 	#cleanWhenDue(context: SteeringContext): void {
 		const {now} = context;
 		if (now - this.#lastClean < cleanInterval) {
@@ -269,10 +272,10 @@
 
 		this.#lastClean = now;
 		const {members, settings} = this.#beliefs;
-		const isFirst = members
-			.listLive(now)
-			.every(({host}) => host.name > settings.self.name);
-		if (isFirst) {
+		const isFirst = this.#listActive(now).every(
+			({host}) => host.name > settings.self.name,
+		);
+		if (isFirst && this.#beliefs.isActive(now)) {
 			for (const name of members.listGone(now)) {
 				context.emit({type: 'remove-host-entry', name});
 			}
