--- a/packages/steering/__tests__/grown-fleet.test.ts
+++ b/packages/steering/__tests__/grown-fleet.test.ts
@@ -9,6 +9,7 @@
 import {
 	createDigest,
 	createHost,
+	createServer,
 	KernelSession,
 } from './support/kernel-session.js';
 
@@ -101,6 +102,41 @@
 	});
 });
 
+describe('entries of hosts that are not heard', () => {
+	const runFor = (isBusy: boolean): string[] => {
+		const session = new KernelSession();
+		session.begin([createServer({slots: 1000})]);
+		session.handle({
+			type: 'hosts-listed',
+			hosts: [createHost({name: 'silent', incarnation: 'silent/1'})],
+		});
+		const removed: string[] = [];
+		for (let sequence = 1; sequence <= 30; sequence++) {
+			const digest = createDigest({name: 'other', sequence});
+			session.handle({type: 'digest-received', digest});
+			for (let count = 0; isBusy && count < 10; count++) {
+				session.send();
+			}
+
+			for (const effect of session.wait(1000)) {
+				if (effect.type === 'remove-host-entry') {
+					removed.push(effect.name);
+				}
+			}
+		}
+
+		return removed;
+	};
+
+	it('are removed by a busy host, which would hear them', () => {
+		expect(runFor(true)).toInclude('silent');
+	});
+
+	it('stay as far as an idle host is concerned: others may hear them', () => {
+		expect(runFor(false)).toEqual([]);
+	});
+});
+
 describe('a fleet of which all hosts come back at once', () => {
 	it('refuses few requests of customers within their rates', () => {
 		const {outcomes} = runFleet(30, false);
