--- a/packages/steering/__tests__/grown-fleet.test.ts
+++ b/packages/steering/__tests__/grown-fleet.test.ts
@@ -114,7 +114,8 @@
 		for (let sequence = 1; sequence <= 30; sequence++) {
 			const digest = createDigest({name: 'other', sequence});
 			session.handle({type: 'digest-received', digest});
-			for (let count = 0; isBusy && count < 10; count++) {
+			const requests = isBusy ? 10 : 0;
+			for (let count = 0; count < requests; count++) {
 				session.send();
 			}
 
