Give the soak's daemons addresses of their own; leave no process behind

Cause: seeds 109 and 112 broke 'serves nine in ten without faults': a daemon could not start again since a connection that went out from the same address had taken its port (EADDRINUSE in the log of front-1 of both). A fault of the soak, not of the daemon. Also: a soak that was ended by a signal left its daemons. Change: daemons listen on addresses that nothing connects from; the soak's daemons end with it. Both seeds stay as cases of npm test: fail before, pass after. Ruled out: the daemon's start (it logs 'started' before the port is refused).

--- a/packages/soak/__tests__/soak.test.ts
+++ b/packages/soak/__tests__/soak.test.ts
@@ -6,8 +6,11 @@
 import {createPlan} from '../src/plan.js';
 import {runSoak} from '../src/soak.js';
 
-/** Seeds that failed once, with what was the cause, stay here. */
-const seeds = [5];
+/**
+ * Seeds that failed once stay here. 109 and 112: a connection that went out took
+ * the port of a daemon between its stop and its start.
+ */
+const seeds = [5, 109, 112];
 
 describe('the plan of a soak', () => {
 	it('is the same for a seed, and another one for another', () => {
--- a/packages/soak/src/daemon-process.ts
+++ b/packages/soak/src/daemon-process.ts
@@ -16,6 +16,14 @@
 	readonly settings: Readonly<Record<string, unknown>>;
 };
 
+/** Processes that run; none is left behind when this process ends. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** One daemon as a process of its own; it is ended by its id alone. */
 export class DaemonProcess {
 	/** Whether the soak wants it to run. */
@@ -51,7 +59,9 @@
 		const log = createWriteStream(this.logFile, {flags: 'a'});
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
+		running.add(child);
 		child.once('close', () => {
+			running.delete(child);
 			log.end();
 			if (this.#child === child) {
 				this.#child = undefined;
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -8,6 +8,9 @@
 
 const host = '127.0.0.1';
 const portsOfDaemon = 4;
+/** Daemons have addresses of their own, so that a connection that goes out cannot take a port between two starts. */
+const daemonNetwork = '127.77';
+const addressesOfPart = 250;
 /** One-way delay of a slow link: more than between two regions. */
 const slowDelay: Milliseconds = 150;
 
@@ -16,6 +19,8 @@
 	readonly folder: string;
 	readonly daemons: number;
 	readonly servers: number;
+	/** Runs side by side have different ones. */
+	readonly seed: number;
 };
 
 export type Daemon = {
@@ -53,13 +58,11 @@
 			this.backends.push(await this.#createBackend());
 		}
 
-		const ports = await reservePorts(this.#options.daemons * portsOfDaemon);
+		const network = `${daemonNetwork}.${this.#options.seed % addressesOfPart}`;
 		for (let index = 0; index < this.#options.daemons; index++) {
-			const own = ports.slice(
-				index * portsOfDaemon,
-				(index + 1) * portsOfDaemon,
+			this.daemons.push(
+				await this.#createDaemon(index, `${network}.${index + 1}`),
 			);
-			this.daemons.push(await this.#createDaemon(index, own));
 		}
 
 		return this;
@@ -134,7 +137,8 @@
 		return backend;
 	}
 
-	async #createDaemon(index: number, ports: number[]): Promise<Daemon> {
+	async #createDaemon(index: number, own: string): Promise<Daemon> {
+		const ports = await reservePorts(own, portsOfDaemon);
 		const [address, port] = this.store.address.split(':') as [string, string];
 		const toStore = await new FaultyLink({
 			host,
@@ -146,14 +150,14 @@
 		const settings = toSettings({
 			name,
 			index,
-			host,
+			host: own,
 			ports,
 			store: `${host}:${toStore.port}`,
 		});
 		const {folder} = this.#options;
 		const process = new DaemonProcess({name, folder, settings});
 		process.start();
-		return {process, callers: {address: host, port: ports[0]!}, toStore};
+		return {process, callers: {address: own, port: ports[0]!}, toStore};
 	}
 
 	#toEntry({server, link}: Backend, state: 'ready' | 'draining'): unknown {
@@ -162,14 +166,14 @@
 	}
 }
 
-/** Ports that were free a moment ago. */
-async function reservePorts(count: number): Promise<number[]> {
+/** Ports of an address that were free a moment ago. */
+async function reservePorts(address: string, count: number): Promise<number[]> {
 	const listeners = Array.from({length: count}, () => createServer());
 	await Promise.all(
 		listeners.map(
 			async (listener) =>
 				new Promise<void>((resolve) => {
-					listener.listen(0, host, resolve);
+					listener.listen(0, address, resolve);
 				}),
 		),
 	);
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -73,4 +73,11 @@
 	process.stdout.write(`${line}\n`);
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		// Ends the daemons, too.
+		process.exit(1);
+	});
+}
+
 await run(soakCommand, process.argv.slice(2));
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -47,7 +47,7 @@
 	const {seed, length, daemons, servers, folder, onProgress} = options;
 	const clock = createSystemClock();
 	const plan = createPlan({seed, length, daemons, servers});
-	const fleet = new Fleet({clock, folder, daemons, servers});
+	const fleet = new Fleet({clock, folder, daemons, servers, seed});
 	const injector = new FaultInjector(fleet, clock);
 	const records: CallerRecord[] = [];
 	try {
