Check evacuations in the soak, too

A tenth promise: servers of an evacuated failure domain get nothing after 5 s, judged only where no unplanned fault lay near.

--- a/packages/soak/__tests__/oracle.test.ts
+++ b/packages/soak/__tests__/oracle.test.ts
@@ -26,6 +26,8 @@
 		executions: [],
 		revokedAt: new Map(),
 		leftAt: new Map(),
+		evacuations: [],
+		evacuatedServers: new Set(),
 		faults: [],
 		allBackAt: [],
 		end: 60_000,
@@ -100,6 +102,20 @@
 		expect(listBroken({...evidence, faults})).toEqual([]);
 	});
 
+	it('sees a request in an evacuated failure domain', () => {
+		const evidence = {
+			executions: [execution],
+			evacuatedServers: new Set(['i-1']),
+		};
+		const from = execution.at - 5100;
+		expect(
+			listBroken({...evidence, evacuations: [{from, to: from + 7000}]}),
+		).toEqual(['an evacuated failure domain gets nothing']);
+		expect(
+			listBroken({...evidence, evacuations: [{from, to: from + 5050}]}),
+		).toEqual([]);
+	});
+
 	it('sees a customer beyond its rate in a window', () => {
 		const executions = Array.from({length: 153}, (_, index) => ({
 			...execution,
--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -16,6 +16,11 @@
 /** The failure domain that is evacuated; others have room for all. */
 export const evacuated = failureDomains[0]!;
 
+/** The failure domain of a server by its number. */
+export function findFailureDomain(number: number): string {
+	return failureDomains[number % failureDomains.length]!;
+}
+
 export function createConfiguration(
 	version: number,
 	withdrawn: ReadonlySet<string>,
@@ -44,7 +49,7 @@
 	readonly state: 'ready' | 'draining';
 }): unknown {
 	const {number, address, state} = options;
-	const zone = failureDomains[number % failureDomains.length];
+	const zone = findFailureDomain(number);
 	return createServerEntry({address, zone, state, slots: 4});
 }
 
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -20,6 +20,7 @@
 export class FaultInjector {
 	readonly faults: Array<Evidence['faults'][number]> = [];
 	readonly allBackAt: Milliseconds[] = [];
+	readonly evacuations: Array<{from: Milliseconds; to: Milliseconds}> = [];
 	readonly #fleet: Fleet;
 	readonly #clock: Clock;
 	readonly #busy = new Set<unknown>();
@@ -96,9 +97,7 @@
 			}
 
 			case 'evacuate': {
-				this.#fleet.store.put('evacuations', evacuated, {});
-				await wait(fault.span);
-				this.#fleet.store.remove('evacuations', evacuated);
+				await this.#evacuate(fault);
 				break;
 			}
 
@@ -109,6 +108,21 @@
 		}
 	}
 
+	async #evacuate({span}: FaultOf<'evacuate'>): Promise<void> {
+		const {store} = this.#fleet;
+		await this.#exclude(evacuated, async () => {
+			store.put('evacuations', evacuated, {});
+			const evacuation = {
+				from: this.#clock.now(),
+				to: Number.POSITIVE_INFINITY,
+			};
+			this.evacuations.push(evacuation);
+			await wait(span);
+			store.remove('evacuations', evacuated);
+			evacuation.to = this.#clock.now();
+		});
+	}
+
 	async #disturbStore({mode, span}: FaultOf<'store'>): Promise<void> {
 		this.#storeFaults += 1;
 		this.#fleet.store.mode = mode;
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -1,6 +1,12 @@
 import {createServer, type AddressInfo} from 'node:net';
 import type {Clock, Endpoint, Milliseconds} from '@parsleyvale/shared';
-import {createConfiguration, createEntry, toSettings} from './deployment.js';
+import {
+	createConfiguration,
+	createEntry,
+	evacuated,
+	findFailureDomain,
+	toSettings,
+} from './deployment.js';
 import {DaemonProcess} from './daemon-process.js';
 import {FaultyLink} from './faulty-link.js';
 import {ServerStandIn, type Execution} from './server-stand-in.js';
@@ -40,6 +46,8 @@
 	readonly executions: Execution[] = [];
 	readonly leftAt = new Map<string, Milliseconds>();
 	readonly revokedAt = new Map<string, Milliseconds>();
+	/** Ids of servers in the failure domain that is evacuated at times. */
+	readonly evacuatedServers = new Set<string>();
 	readonly daemons: Daemon[] = [];
 	readonly backends: Backend[] = [];
 	readonly #options: FleetOptions;
@@ -133,6 +141,10 @@
 			delay: slowDelay,
 		}).listen();
 		const backend = {server, link};
+		if (findFailureDomain(this.#serverCount) === evacuated) {
+			this.evacuatedServers.add(id);
+		}
+
 		this.store.put('servers', id, this.#toEntry(backend, 'ready'));
 		return backend;
 	}
--- a/packages/soak/src/oracle.ts
+++ b/packages/soak/src/oracle.ts
@@ -10,6 +10,13 @@
 	readonly revokedAt: ReadonlyMap<string, Milliseconds>;
 	/** Servers and when the store took their leave. */
 	readonly leftAt: ReadonlyMap<string, Milliseconds>;
+	/** When a failure domain was evacuated, and until when. */
+	readonly evacuations: ReadonlyArray<{
+		readonly from: Milliseconds;
+		readonly to: Milliseconds;
+	}>;
+	/** Servers of that failure domain. */
+	readonly evacuatedServers: ReadonlySet<string>;
 	/** Times in which faults lay, from their begin to their end. */
 	readonly faults: ReadonlyArray<{
 		readonly kind: string;
@@ -36,6 +43,7 @@
 export const bounds = {
 	revocation: 5000,
 	drain: 2500,
+	evacuation: 5000,
 	recovery: 15_000,
 	window: 5000,
 	overage: 0.1,
@@ -115,6 +123,29 @@
 					`at ${server} ${Math.round(at - leftAt.get(server)!)} ms after its leave`,
 				),
 			),
+	'an evacuated failure domain gets nothing'({
+		executions,
+		evacuations,
+		evacuatedServers,
+		faults,
+	}) {
+		return evacuations.flatMap(({from, to}) =>
+			executions
+				.filter(
+					({server, at}) =>
+						evacuatedServers.has(server) &&
+						at > from + bounds.evacuation &&
+						at < to &&
+						!isDisturbed(faults, from - bounds.stable, at, plannedKinds),
+				)
+				.map(({requestId, server, at}) =>
+					toViolation(
+						requestId,
+						`at ${server} ${Math.round(at - from)} ms after the evacuation`,
+					),
+				),
+		);
+	},
 	'a customer stays within its rate'({executions, limit}) {
 		const times = executions
 			.filter(({customer}) => customer === limit.customer)
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -65,6 +65,8 @@
 			executions: fleet.executions,
 			revokedAt: fleet.revokedAt,
 			leftAt: fleet.leftAt,
+			evacuations: injector.evacuations,
+			evacuatedServers: fleet.evacuatedServers,
 			faults: injector.faults,
 			allBackAt: injector.allBackAt,
 			end,
