--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -63,7 +63,6 @@
 		route: SteeringRoute,
 		customer: SteeringCustomer | undefined,
 	): LiveRequest {
-		const object = toObject(arrival, route);
 		const timeLeft = arrival.timeLeft ?? Number.POSITIVE_INFINITY;
 		return {
 			arrival,
@@ -71,8 +70,7 @@
 			customer,
 			service: this.#split.choose(route).service,
 			homeRegions: mergeHomes(route.homeRegions, customer?.homeRegions ?? []),
-			object,
-			objectHash: computeHash(object),
+			objectHash: computeHash(toObject(arrival, route)),
 			objectiveAt: arrival.arrivedAt + route.latencyObjectiveMs,
 			deadline: arrival.arrivedAt + Math.min(route.timeoutMs, timeLeft),
 			priority: customer?.priority ?? route.priority,
--- a/packages/steering/src/live-request.ts
+++ b/packages/steering/src/live-request.ts
@@ -11,7 +11,6 @@
 	readonly service: string;
 	readonly homeRegions: readonly string[];
 	/** Requests for the same one are best served by the same server. */
-	readonly object: string;
 	readonly objectHash: number;
 	/** When the answer should be there, and when it must be. */
 	readonly objectiveAt: Milliseconds;
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -2,6 +2,7 @@
 import {ErrorKind, type Milliseconds} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
 import type {Beliefs} from './beliefs.js';
+import {Candidates, type Candidate, type PlaceRequest} from './candidates.js';
 import {Delays} from './delays.js';
 import type {SteeringAttemptEnded} from './event.js';
 import type {Limits} from './limits.js';
@@ -10,8 +11,6 @@
 import type {Running, ServerState} from './server-state.js';
 import {WorkTimes} from './work-times.js';
 
-/** Servers of each failure domain that are weighed though none of them knows the object, in the object's order. */
-const weighedOfDomain = 2;
 /** How likely a server knows an object that no host is known to have sent there: the first in its order, and others. */
 const knownAsFirst = 0.3;
 const knownOtherwise = 0.05;
@@ -36,21 +35,6 @@
 /** A server that failed last is weighed as if it took so much longer. */
 const suspectFactor = 2;
 
-export type PlaceRequest = {
-	readonly route: SteeringRoute;
-	readonly service: string;
-	readonly objectHash: number;
-	/** Regions that may serve it; empty: all. */
-	readonly homeRegions: readonly string[];
-	readonly bodyBytes: number;
-	/** When the answer should be there. */
-	readonly objectiveAt: Milliseconds;
-	/** When it must be. */
-	readonly deadline: Milliseconds;
-	/** Servers that it went to before. */
-	readonly tried: ReadonlySet<string>;
-};
-
 /** A server and what led to it. */
 export type Place = {
 	readonly state: ServerState;
@@ -75,15 +59,6 @@
 	readonly knownIn: Milliseconds | undefined;
 };
 
-/** A server that may take the request, and its place in the object's order. */
-type Candidate = {
-	readonly state: ServerState;
-	/** Whether it is the first of all that may be used. */
-	readonly isFirst: boolean;
-	/** Its rank among those of its failure domain. */
-	readonly rank: number;
-};
-
 /** What bears on a candidate besides the server itself. */
 type Weighing = {
 	readonly isFirst: boolean;
@@ -113,6 +88,7 @@
 	readonly times = new WorkTimes();
 	readonly #beliefs: Beliefs;
 	readonly #limits: Limits;
+	readonly #candidates: Candidates;
 	readonly #delays: Delays;
 	readonly #utilization = new PoolUtilization();
 	readonly #handled: Array<{
@@ -124,6 +100,7 @@
 	constructor(beliefs: Beliefs, limits: Limits) {
 		this.#beliefs = beliefs;
 		this.#limits = limits;
+		this.#candidates = new Candidates(beliefs, limits);
 		this.#delays = new Delays(beliefs.settings.self);
 	}
 
@@ -132,7 +109,7 @@
 		request: PlaceRequest,
 		now: Milliseconds,
 	): Result<Place, PlaceProblem> {
-		const candidates = this.#listCandidates(request, now);
+		const candidates = this.#candidates.list(request, now);
 		if (candidates.length === 0) {
 			return Result.err({kind: ErrorKind.NoServer, knownIn: undefined});
 		}
@@ -215,74 +192,6 @@
 		}
 	}
 
-	/**
-	 * The first servers of each failure domain in the object's order, and those that
-	 * have it at hand. All servers are looked through only where none of these
-	 * may be used.
-	 */
-	#listCandidates(request: PlaceRequest, now: Milliseconds): Candidate[] {
-		const {fleet} = this.#beliefs;
-		const pool = fleet.findPool(request.service);
-		if (pool === undefined) {
-			return [];
-		}
-
-		const candidates = this.#listFirst(
-			pool.rank(request.objectHash),
-			request,
-			now,
-		);
-		const ranked = new Set(candidates.map(({state}) => state));
-		for (const state of fleet.known.list(request.objectHash)) {
-			const isNew =
-				!ranked.has(state) &&
-				state.server.service === request.service &&
-				state.hasAtHand(request.objectHash);
-			if (isNew && this.#isAllowed(state, request, now)) {
-				candidates.push({state, rank: weighedOfDomain, isFirst: false});
-			}
-		}
-
-		return candidates.length > 0
-			? candidates
-			: this.#listFirst(pool.servers, request, now);
-	}
-
-	#listFirst(
-		states: readonly ServerState[],
-		request: PlaceRequest,
-		now: Milliseconds,
-	): Candidate[] {
-		const candidates: Candidate[] = [];
-		const ranks = new Map<string, number>();
-		for (const state of states) {
-			const {failureDomain} = state.server;
-			const rank = ranks.get(failureDomain) ?? 0;
-			if (rank < weighedOfDomain && this.#isAllowed(state, request, now)) {
-				ranks.set(failureDomain, rank + 1);
-				const isFirst = candidates.length === 0;
-				candidates.push({state, rank, isFirst});
-			}
-		}
-
-		return candidates;
-	}
-
-	#isAllowed(
-		state: ServerState,
-		{homeRegions, tried}: PlaceRequest,
-		now: Milliseconds,
-	): boolean {
-		const {server} = state;
-		return (
-			state.isUsable(now) &&
-			!tried.has(server.id) &&
-			(homeRegions.length === 0 || homeRegions.includes(server.region)) &&
-			(!state.isCold(now) ||
-				this.#limits.cold.hasRoom(server, this.#getColdRate(state), now))
-		);
-	}
-
 	/**
 	 * The first server of this region in the object's order, if it has never
 	 * had work: a server that joined would else wait for the others to be full,
@@ -366,7 +275,7 @@
 		const running = {sentAt: now, expected, objectHash};
 		state.onSent(running);
 		if (state.isCold(now)) {
-			const rate = this.#getColdRate(state);
+			const rate = this.#candidates.getColdRate(state);
 			this.#limits.cold.take(state.server.id, rate, now);
 		}
 
@@ -382,11 +291,6 @@
 			expected,
 		};
 	}
-
-	#getColdRate({server}: ServerState): number {
-		const service = this.#beliefs.configuration.findService(server.service);
-		return service?.coldRatePerSecond ?? 1;
-	}
 }
 
 export const placerKey = createServiceKey<Placer>('placer');
