--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -11,8 +11,6 @@
 const leaveTime: Milliseconds = 4000;
 /** A daemon that was ended is started again after this time. */
 const restartPause: Milliseconds = 300;
-/** A daemon that starts is ready after this time at most, on a busy machine. */
-const startTime: Milliseconds = 2000;
 
 type FaultOf<Kind extends Fault['kind']> = Extract<Fault, {kind: Kind}>;
 
@@ -167,7 +165,8 @@
 	}: FaultOf<
 		'daemon-kill' | 'daemon-stop' | 'daemon-pause' | 'daemon-reload'
 	>): Promise<void> {
-		const {process} = this.#fleet.daemons[target]!;
+		const daemon = this.#fleet.daemons[target]!;
+		const {process} = daemon;
 		await this.#exclude(process, async () => {
 			if (kind === 'daemon-reload') {
 				process.signal('SIGHUP');
@@ -179,22 +178,26 @@
 				await process.end(kind === 'daemon-kill' ? 'SIGKILL' : 'SIGTERM');
 				await wait(restartPause);
 				process.start();
-				await wait(startTime);
+				await this.#fleet.waitUntilReady(daemon);
 			}
 		});
 	}
 
 	async #killAll(): Promise<void> {
+		let backAt: Milliseconds | undefined;
 		await Promise.all(
-			this.#fleet.daemons.map(async ({process}) =>
-				this.#exclude(process, async () => {
-					await process.end('SIGKILL');
-					process.start();
-					await wait(startTime);
+			this.#fleet.daemons.map(async (daemon) =>
+				this.#exclude(daemon.process, async () => {
+					await daemon.process.end('SIGKILL');
+					daemon.process.start();
+					backAt = this.#clock.now();
+					await this.#fleet.waitUntilReady(daemon);
 				}),
 			),
 		);
-		this.allBackAt.push(this.#clock.now());
+		if (backAt !== undefined) {
+			this.allBackAt.push(backAt);
+		}
 	}
 
 	#revokeNext(): void {
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -1,4 +1,6 @@
+import {get} from 'node:http';
 import {createServer, type AddressInfo} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import type {Clock, Endpoint, Milliseconds} from '@parsleyvale/shared';
 import {
 	createConfiguration,
@@ -17,6 +19,9 @@
 /** Daemons have addresses of their own, so that a connection that goes out cannot take a port between two starts. */
 const daemonNetwork = '127.77';
 const addressesOfPart = 250;
+/** A daemon that finds the store away is not ready until it is back. */
+const longestStart: Milliseconds = 15_000;
+const readinessInterval: Milliseconds = 50;
 /** One-way delay of a slow link: more than between two regions. */
 const slowDelay: Milliseconds = 150;
 
@@ -32,6 +37,7 @@
 export type Daemon = {
 	readonly process: DaemonProcess;
 	readonly callers: Endpoint;
+	readonly readiness: Endpoint;
 	readonly toStore: FaultyLink;
 };
 
@@ -76,6 +82,21 @@
 		return this;
 	}
 
+	/** Waits until the daemon says that it is ready; false when it does not in time. */
+	async waitUntilReady({readiness}: Daemon): Promise<boolean> {
+		const {clock} = this.#options;
+		const end = clock.now() + longestStart;
+		while (clock.now() < end) {
+			if (await isReady(readiness)) {
+				return true;
+			}
+
+			await wait(readinessInterval);
+		}
+
+		return false;
+	}
+
 	/** Ends every process and closes every socket of the fleet. */
 	async close(): Promise<void> {
 		await Promise.all(
@@ -169,7 +190,12 @@
 		const {folder} = this.#options;
 		const process = new DaemonProcess({name, folder, settings});
 		process.start();
-		return {process, callers: {address: own, port: ports[0]!}, toStore};
+		return {
+			process,
+			callers: {address: own, port: ports[0]!},
+			readiness: {address: own, port: ports[1]!},
+			toStore,
+		};
 	}
 
 	#toEntry({server, link}: Backend, state: 'ready' | 'draining'): unknown {
@@ -178,6 +204,25 @@
 	}
 }
 
+async function isReady({address, port}: Endpoint): Promise<boolean> {
+	return new Promise((resolve) => {
+		const call = get(
+			{host: address, port, path: '/api/ready', agent: false},
+			(answer) => {
+				answer.resume();
+				resolve(answer.statusCode === 200);
+			},
+		);
+		call.setTimeout(1000, () => {
+			call.destroy();
+		});
+		call.on('error', () => {
+			// It does not listen yet.
+			resolve(false);
+		});
+	});
+}
+
 /** Ports of an address that were free a moment ago. */
 async function reservePorts(address: string, count: number): Promise<number[]> {
 	const listeners = Array.from({length: count}, () => createServer());
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -33,8 +33,6 @@
 /** The part of requests that come from the customer with a limit. */
 const limitedPart = 0.4;
 const safePart = 0.6;
-/** Time for the daemons to start before the callers. */
-const leadTime: Milliseconds = 2500;
 /** Time after the load for late executions. */
 const tailTime: Milliseconds = 1500;
 const progressInterval: Milliseconds = 5000;
@@ -52,7 +50,9 @@
 	const records: CallerRecord[] = [];
 	try {
 		await fleet.start();
-		await wait(leadTime);
+		await Promise.all(
+			fleet.daemons.map(async (daemon) => fleet.waitUntilReady(daemon)),
+		);
 		const begin = clock.now();
 		const end = begin + length;
 		const injected = plan.map(async (fault) => {
