--- /dev/null
+++ b/packages/steering/__tests__/grown-fleet.test.ts
@@ -0,0 +1,99 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+	createConfiguration,
+	createCustomer,
+	createRoute,
+} from './support/configuration.js';
+import {FleetBench, sendStreams} from './support/fleet-bench.js';
+
+const regions = ['east', 'west', 'north'];
+const end = 12_000;
+const customers = Array.from({length: 20}, (_, index) =>
+	createCustomer({
+		name: `customer-${index}`,
+		keyHashes: [`key-${index}`],
+		ratePerSecond: 20,
+		burst: 20,
+	}),
+);
+
+/** A fleet of which callers use two hosts in each region, as look-ups name the large ones. */
+function runFleet(hostsPerRegion: number): FleetBench {
+	const bench = new FleetBench({
+		regions,
+		hostsPerRegion,
+		usedPerRegion: 2,
+		configuration: createConfiguration({
+			routes: [createRoute({timeoutMs: 2000, latencyObjectiveMs: 800})],
+			customers,
+		}),
+		serversPerRegion: [60, 12, 50],
+		slots: 5,
+		kept: 17,
+		regionDelay: 55,
+		service: 'desk',
+		seed: 3,
+	});
+	for (let at = 1000; at < end; at += 1000) {
+		bench.schedule(at, () => {
+			bench.confirm();
+		});
+	}
+
+	const streams = customers.map(({keyHashes}) => ({
+		path: '/read/',
+		key: keyHashes[0]!,
+		perSecond: 12,
+		objects: 50,
+		timeLeft: 5000,
+	}));
+	sendStreams(bench, regions, streams, {from: 1000, to: end});
+	bench.runUntil(end + 3000);
+	return bench;
+}
+
+describe('a fleet in which few hosts carry the load', () => {
+	const small = runFleet(3);
+	const large = runFleet(30);
+
+	it('sends as many bytes for each host when it is ten times as large', () => {
+		const toBytesPerHost = ({bytesSent, hosts}: FleetBench) =>
+			bytesSent / hosts.length;
+		expect(toBytesPerHost(large)).toBeLessThanOrEqual(toBytesPerHost(small));
+	});
+
+	it('sends at most ten messages more a second for each doubling', () => {
+		const toMessages = ({messagesSent, hosts}: FleetBench) =>
+			messagesSent / hosts.length / (end / 1000);
+		expect(toMessages(large)).toBeLessThanOrEqual(
+			toMessages(small) + 10 * Math.log2(10),
+		);
+	});
+
+	it('serves callers as well as a small one', () => {
+		const toPart = ({outcomes}: FleetBench) => {
+			const late = [...outcomes.values()].filter(({sentAt}) => sentAt > 6000);
+			const inTime = late.filter(
+				({result, endedAt, sentAt}) =>
+					result === 'answered' && endedAt! - sentAt <= 800,
+			);
+			return inTime.length / late.length;
+		};
+
+		expect(toPart(large)).toBeGreaterThanOrEqual(0.95);
+		expect(toPart(small)).toBeGreaterThanOrEqual(0.95);
+	});
+
+	it('keeps each customer within its rate', () => {
+		for (const {keyHashes} of customers) {
+			const times = [...large.outcomes.values()]
+				.filter(({customer, runs}) => customer === keyHashes[0] && runs > 0)
+				.map(({sentAt}) => sentAt);
+			for (const from of times) {
+				const inWindow = times.filter((at) => at >= from && at < from + 5000);
+				expect(inWindow.length).toBeLessThanOrEqual((20 * 5 + 20) * 1.1 + 20);
+			}
+		}
+	});
+});
--- a/packages/steering/__tests__/support/fleet-bench.ts
+++ b/packages/steering/__tests__/support/fleet-bench.ts
@@ -15,6 +15,8 @@
 	readonly regions: readonly string[];
 	readonly hostsPerRegion: number;
 	readonly configuration: SteeringConfiguration;
+	/** Hosts of each region that callers use; without it, all of them. */
+	readonly usedPerRegion?: number;
 	/** Servers of each region, in the order of the regions. */
 	readonly serversPerRegion: readonly number[];
 	readonly slots: number;
@@ -58,6 +60,11 @@
 
 /** Hosts, servers and callers on a virtual clock, with the real decisions. */
 export class FleetBench {
+	/** Messages between hosts so far, each to one host. */
+	messagesSent = 0;
+	/** Their bytes, and those that went to another region. */
+	bytesSent = 0;
+	bytesBetweenRegions = 0;
 	readonly clock = createManualClock(0);
 	readonly outcomes = new Map<string, Outcome>();
 	readonly hosts: Host[] = [];
@@ -72,11 +79,6 @@
 
 	readonly #works = new Map<string, {work: Work; server: VirtualServer}>();
 	readonly #hostsByName = new Map<string, Host>();
-	/** Messages between hosts so far, each to one host. */
-	messagesSent = 0;
-	/** Their bytes, and those that went to another region. */
-	bytesSent = 0;
-	bytesBetweenRegions = 0;
 	#requests = 0;
 
 	constructor(options: BenchOptions) {
@@ -189,7 +191,8 @@
 		const inRegion = this.hosts.filter(
 			({host, isUp}) => isUp && host.region === request.region,
 		);
-		const host = inRegion[Math.floor(this.random() * inRegion.length)]!;
+		const used = inRegion.slice(0, this.#options.usedPerRegion);
+		const host = used[Math.floor(this.random() * used.length)]!;
 		const id = `request-${++this.#requests}`;
 		const outcome: Outcome = {
 			id,
@@ -426,20 +429,26 @@
 	readonly timeLeft: Milliseconds;
 };
 
+export type StreamSpan = {
+	readonly from: Milliseconds;
+	readonly to: Milliseconds;
+	/** Whether all regions ask for the same objects. */
+	readonly isShared?: boolean;
+};
+
 /** Sends requests at random moments, until a time; the same ones for a seed. */
 export function sendStreams(
 	bench: FleetBench,
 	regions: readonly string[],
 	streams: readonly Stream[],
-	span: {readonly from: Milliseconds; readonly to: Milliseconds},
-	isShared = false,
+	{from, to, isShared = false}: StreamSpan,
 ): void {
 	for (const stream of streams) {
 		const {perSecond, objects, ...rest} = stream;
-		let at = span.from;
+		let at = from;
 		for (;;) {
 			at += (-Math.log(1 - bench.random()) * 1000) / perSecond;
-			if (at >= span.to) {
+			if (at >= to) {
 				break;
 			}
 
--- a/packages/steering/__tests__/support/kernel-session.ts
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -53,6 +53,7 @@
 		address: '127.0.0.2',
 		port: 1,
 		isReady: true,
+		requestsPerSecond: 10,
 		configurationVersion: 1,
 		configurationAgeMs: 0,
 		isStoreLost: false,
--- a/packages/steering/src/beliefs-plugin.ts
+++ b/packages/steering/src/beliefs-plugin.ts
@@ -23,7 +23,7 @@
 	readonly #beliefs: Beliefs;
 	readonly #readers: Readers;
 	#lastFetch: Milliseconds = Number.NEGATIVE_INFINITY;
-	#isReading: boolean | undefined;
+	#isReadingTold = false;
 
 	constructor(settings: SteeringSettings) {
 		super();
@@ -172,7 +172,9 @@
 			fleet.states.get(id)?.onOthersFirst(object, context.now + left);
 		}
 
-		fleet.applyLoad(digest.name, digest.inFlight ?? {});
+		if (digest.inFlight !== undefined) {
+			fleet.applyLoad(digest.name, digest.inFlight);
+		}
 	}
 
 	#onSuspended(context: SteeringContext): void {
@@ -183,8 +185,9 @@
 
 	#setReading(context: SteeringContext): void {
 		const isReading = this.#readers.isReader(context.now);
-		if (isReading !== this.#isReading) {
-			this.#isReading = isReading;
+		if (isReading !== this.#beliefs.isReading || !this.#isReadingTold) {
+			this.#beliefs.isReading = isReading;
+			this.#isReadingTold = true;
 			context.emit({type: 'set-reading', isReading});
 			log(context, isReading ? 'follows the store' : 'learns from others', {});
 		}
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -2,9 +2,11 @@
 import type {Milliseconds} from '@parsleyvale/shared';
 import {beliefsKey, type Beliefs} from './beliefs.js';
 import type {Digest} from './digest.js';
+import {toLoadReport} from './load-report.js';
 import type {SteeringEffect} from './effect.js';
 import type {SteeringEvent} from './event.js';
 import {limitsKey, type Limits} from './limits.js';
+import type {Member} from './members.js';
 import {placerKey, type Placer} from './placer.js';
 import type {SteeringContext, SteeringKernel} from './types.js';
 
@@ -12,26 +14,32 @@
 const regionInterval: Milliseconds = 100;
 /** Hosts of other regions get digests less often: links between regions cost more. */
 const fleetInterval: Milliseconds = 500;
-/** In a fleet of more hosts than this, each tells all less often, so that the sum grows with the hosts alone. */
-const fleetAtFullPace = 25;
+/** Among more hosts than this, each sends less often, so that the sum grows with the hosts alone. */
+const hostsAtFullPace = 20;
+/** The same for those of a region. */
+const regionHostsAtFullPace = 4;
 /** What others must hear at once is sent after this time at the earliest. */
 const reportInterval: Milliseconds = 50;
-/** In a region of more hosts than this, each sends less often, so that the sum stays. */
-const hostsAtFullPace = 4;
-/** What servers handled is sent with two digests to all hosts, so that one may be lost. */
-const handledSpan: Milliseconds = 1000;
+/** What servers handled goes out with two digests to all hosts, so that one may be lost. */
+const digestsWithHandled = 2;
 /** Entries of hosts that are gone are looked for this often. */
 const cleanInterval: Milliseconds = 5000;
 
-/** Tells the other hosts what this one holds and does. */
+/**
+ * Tells the other hosts what this one holds and does. Hosts with a part of the
+ * load tell each other of theirs; all others get short digests, from which they
+ * learn that a host lives and whether it knows something newer of the store.
+ */
 export class DigestPlugin extends Plugin<SteeringEvent, SteeringEffect> {
 	#beliefs!: Beliefs;
 	#limits!: Limits;
 	#placer!: Placer;
 	#sequence = 0;
 	#lastInRegion: Milliseconds = Number.NEGATIVE_INFINITY;
-	#lastInFleet: Milliseconds = Number.NEGATIVE_INFINITY;
+	#lastToActive: Milliseconds = Number.NEGATIVE_INFINITY;
+	#lastToAll: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastClean: Milliseconds = 0;
+	#wasActive = false;
 	#reportedVersion = -1;
 	#reportedRevision = -1;
 	#reportedEvacuations = -1;
@@ -49,33 +57,106 @@
 			this.#cleanWhenDue(context);
 		});
 		kernel.on('stop-requested', (_event, context) => {
-			this.#send(true, context);
+			this.#sendShort(this.#beliefs.members.listKnown(), context);
 		});
 	}
 
 	#sendWhenDue(context: SteeringContext): void {
 		const {now} = context;
-		const {members, settings} = this.#beliefs;
+		const {members} = this.#beliefs;
 		const known = members.listKnown();
-		const sinceAll = now - this.#lastInFleet;
+		const pace = toPace(known.length, hostsAtFullPace);
+		this.#reportNews(known, pace, context);
+		const isActive = this.#beliefs.isActive(now);
+		if (now - this.#lastToAll >= fleetInterval * pace) {
+			this.#lastToAll = now;
+			this.#sendToAll(known, isActive, context);
+		}
+
+		if (isActive && !this.#wasActive) {
+			// Hosts that came under load together do not know it of each other.
+			this.#sendWhole(known, context);
+		}
+
+		this.#wasActive = isActive;
+		if (isActive) {
+			this.#reportLoad(context);
+		}
+	}
+
+	/** What is new of the store goes to all from hosts that read it, and on within a failure domain. */
+	#reportNews(
+		known: readonly Member[],
+		pace: number,
+		context: SteeringContext,
+	): void {
+		const {now} = context;
+		const {settings, isReading} = this.#beliefs;
+		const isDue = now - this.#lastToAll >= reportInterval * pace;
+		if (!isDue || !this.#hasUnreported()) {
+			return;
+		}
+
+		this.#markReported();
+		if (isReading) {
+			this.#lastToAll = now;
+			this.#sendShort(known, context);
+		} else if (this.#beliefs.isActive(now)) {
+			const {failureDomain} = settings.self;
+			this.#sendShort(
+				known.filter(({host}) => host.failureDomain === failureDomain),
+				context,
+			);
+		}
+	}
+
+	/** Load and customers' counts go to hosts that have requests, too. */
+	#reportLoad(context: SteeringContext): void {
+		const {now} = context;
+		const {settings} = this.#beliefs;
+		const active = this.#listActive(now);
+		const pace = toPace(active.length, hostsAtFullPace);
+		const sinceActive = now - this.#lastToActive;
 		const isReportDue =
-			sinceAll >= reportInterval &&
-			(this.#hasUnreported() || this.#limits.rates.hasUnreported());
-		const fleetPace = Math.max(1, known.length / fleetAtFullPace);
-		if (isReportDue || sinceAll >= fleetInterval * fleetPace) {
-			this.#send(true, context);
+			sinceActive >= reportInterval * pace &&
+			this.#limits.rates.hasUnreported();
+		if (isReportDue || sinceActive >= fleetInterval * pace) {
+			this.#sendWhole(active, context);
 			return;
 		}
 
-		const inRegion = known.filter(
+		const near = active.filter(
 			({host}) => host.region === settings.self.region,
-		).length;
-		const pace = Math.max(1, inRegion / hostsAtFullPace);
-		if (now - this.#lastInRegion >= regionInterval * pace) {
-			this.#send(false, context);
+		);
+		const regionPace = toPace(near.length, regionHostsAtFullPace);
+		if (now - this.#lastInRegion >= regionInterval * regionPace) {
+			this.#lastInRegion = now;
+			this.#send(near, this.#createWholeDigest(now), context);
 		}
 	}
 
+	/** Active hosts, which count customers' rates, also hear what an idle one admitted. */
+	#sendToAll(
+		known: readonly Member[],
+		isActive: boolean,
+		context: SteeringContext,
+	): void {
+		const {now} = context;
+		const active = new Set(this.#listActive(now));
+		const idle = known.filter((member) => !active.has(member));
+		this.#sendShort(idle, context);
+		if (!isActive) {
+			const customers = this.#limits.rates.describe(now);
+			const digest = {...this.#createDigest(now), customers};
+			this.#send([...active], digest, context);
+		}
+	}
+
+	#listActive(now: Milliseconds): readonly Member[] {
+		const {members, activity} = this.#beliefs;
+		return members.listActive(activity.computePerSecond(now));
+	}
+
 	/** Whether this host has read something from the store that others have not heard of. */
 	#hasUnreported(): boolean {
 		const {configuration, fleet} = this.#beliefs;
@@ -86,47 +167,48 @@
 		);
 	}
 
-	#send(isToAll: boolean, context: SteeringContext): void {
-		const {members, settings} = this.#beliefs;
+	#markReported(): void {
+		const {configuration, fleet} = this.#beliefs;
+		this.#reportedVersion = configuration.version;
+		this.#reportedRevision = fleet.revision;
+		this.#reportedEvacuations = fleet.evacuationsRevision;
+	}
+
+	#sendWhole(to: readonly Member[], context: SteeringContext): void {
 		this.#lastInRegion = context.now;
-		if (isToAll) {
-			this.#lastInFleet = context.now;
-			this.#reportedVersion = this.#beliefs.configuration.version;
-			this.#reportedRevision = this.#beliefs.fleet.revision;
-			this.#reportedEvacuations = this.#beliefs.fleet.evacuationsRevision;
-		}
+		this.#lastToActive = context.now;
+		this.#send(to, this.#createWholeDigest(context.now), context);
+	}
 
-		const to = members
-			.listKnown()
-			.map(({host}) => host)
-			.filter(({region}) => isToAll || region === settings.self.region);
+	#sendShort(to: readonly Member[], context: SteeringContext): void {
+		this.#send(to, this.#createDigest(context.now), context);
+	}
+
+	#send(to: readonly Member[], digest: Digest, context: SteeringContext): void {
 		if (to.length > 0) {
-			const digest = this.#createDigest(context.now);
-			context.emit({type: 'send-digest', to, digest});
+			const hosts = to.map(({host}) => host);
+			context.emit({type: 'send-digest', to: hosts, digest});
 		}
 	}
 
+	#createWholeDigest(now: Milliseconds): Digest {
+		const {fleet} = this.#beliefs;
+		const pace = toPace(this.#listActive(now).length, hostsAtFullPace);
+		const handledSpan = digestsWithHandled * fleetInterval * pace;
+		return {
+			...this.#createDigest(now),
+			...toLoadReport(fleet.states, now),
+			handled: this.#placer.listHandled(now - handledSpan),
+			customers: this.#limits.rates.describe(now),
+		};
+	}
+
 	#createDigest(now: Milliseconds): Digest {
-		const {settings, configuration, fleet, isStoreLost, isReady} =
+		const {settings, configuration, fleet, isStoreLost, isReady, activity} =
 			this.#beliefs;
 		const {self} = settings;
 		const age = configuration.computeAge(now);
 		this.#sequence += 1;
-		const inFlight: Record<string, number> = {};
-		const firstWork: Array<[string, number, number]> = [];
-		for (const [id, state] of fleet.states) {
-			if (state.running.size > 0) {
-				inFlight[id] = state.running.size;
-			}
-
-			for (const {objectHash, sentAt, expected} of state.running) {
-				if (!state.hasHandled(objectHash)) {
-					const left = Math.max(0, Math.round(sentAt + expected - now));
-					firstWork.push([id, objectHash, left]);
-				}
-			}
-		}
-
 		return {
 			name: self.name,
 			incarnation: self.incarnation,
@@ -138,15 +220,12 @@
 			address: self.peerAddress,
 			port: self.peerPort,
 			isReady,
+			requestsPerSecond: Math.round(activity.computePerSecond(now) * 10) / 10,
 			configurationVersion: configuration.version,
 			configurationAgeMs: Number.isFinite(age) ? Math.ceil(age) : null,
 			isStoreLost,
 			fleetRevision: fleet.revision,
 			evacuationsRevision: fleet.evacuationsRevision,
-			inFlight,
-			firstWork,
-			handled: this.#placer.listHandled(now - handledSpan),
-			customers: this.#limits.rates.describe(now),
 		};
 	}
 
@@ -169,3 +248,8 @@
 		}
 	}
 }
+
+/** How many times longer the intervals are among so many hosts. */
+function toPace(hosts: number, hostsAtFullPaceOfGroup: number): number {
+	return Math.max(1, hosts / hostsAtFullPaceOfGroup);
+}
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -20,6 +20,8 @@
 	port: z.int(),
 	/** Whether callers may be sent to the host. */
 	isReady: z.boolean(),
+	/** Requests that callers send to it. */
+	requestsPerSecond: z.number(),
 	configurationVersion: z.int(),
 	/** How long ago the version was known to be the newest; null: never. */
 	configurationAgeMs: z.number().nullable(),
@@ -29,6 +31,7 @@
 	fleetRevision: z.int(),
 	/** Revision that its evacuated failure domains show. */
 	evacuationsRevision: z.int(),
+	// Left out for hosts that have hardly any requests, and by those:
 	/** Requests that run at each backend server for the host. */
 	inFlight: z.record(z.string(), amountSchema).optional(),
 	/** Servers and hashes of the objects that they handled for the host of late. */
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -14,6 +14,9 @@
 /** An entry in the store whose host was silent for so long may be removed. */
 const silenceOfGone: Milliseconds = 20 * second;
 
+/** A host with less than this part of the busiest host's requests counts as idle: probes reach all hosts. */
+const partOfBusiest = 0.05;
+
 /** Another host, and what it last said. */
 export type Member = {
 	readonly host: SteeringHost;
@@ -61,16 +64,21 @@
 	/** Takes a digest; false when a newer one was there. */
 	onDigest(digest: Digest, now: Milliseconds): boolean {
 		const known = this.#members.get(digest.name);
-		const isOld =
-			known?.digest?.incarnation === digest.incarnation &&
-			known.digest.sequence >= digest.sequence;
+		const isSameStart = known?.digest?.incarnation === digest.incarnation;
+		const isOld = isSameStart && known.digest.sequence >= digest.sequence;
 		if (isOld || digest.name === this.#self) {
 			return false;
 		}
 
 		this.#members.set(digest.name, {
 			host: toHost(digest),
-			digest,
+			// A short digest leaves out what the last whole one said.
+			digest: {
+				...digest,
+				customers:
+					digest.customers ??
+					(isSameStart ? known.digest.customers : undefined),
+			},
 			heardAt: now,
 			listedAt: known?.listedAt ?? now,
 		});
@@ -78,8 +86,9 @@
 	}
 
 	/** Whether it is the last digest that was taken of its host. */
-	isNewest(digest: Digest): boolean {
-		return this.#members.get(digest.name)?.digest === digest;
+	isNewest({name, incarnation, sequence}: Digest): boolean {
+		const newest = this.#members.get(name)?.digest;
+		return newest?.incarnation === incarnation && newest.sequence === sequence;
 	}
 
 	/** Nothing is known of others after this process stood still. */
@@ -100,6 +109,28 @@
 		return this.listKnown().filter((member) => isHeard(member, now, silence));
 	}
 
+	/**
+	 * Requests a second from which a host counts as having a part of the load:
+	 * a small part of what the busiest has, of which `own` may be one.
+	 */
+	computeActiveRate(own: number): number {
+		let most = own;
+		for (const {digest} of this.#members.values()) {
+			most = Math.max(most, digest?.requestsPerSecond ?? 0);
+		}
+
+		return most * partOfBusiest;
+	}
+
+	/** Hosts that have a part of the load, as they last said. */
+	listActive(own: number): readonly Member[] {
+		const least = this.computeActiveRate(own);
+		return this.listKnown().filter(({digest}) => {
+			const rate = digest?.requestsPerSecond ?? 0;
+			return rate > 0 && rate >= least;
+		});
+	}
+
 	/** Names of hosts that are not heard any more. */
 	listSilent(now: Milliseconds): readonly string[] {
 		const silence = this.#computeSilence();
--- a/packages/steering/src/request-life.ts
+++ b/packages/steering/src/request-life.ts
@@ -47,6 +47,7 @@
 
 	onArrived(arrival: SteeringArrival, context: SteeringContext): void {
 		const {now} = context;
+		this.#options.beliefs.activity.onRequest(now);
 		const admitted = this.#admission.admit(arrival, now);
 		if (admitted.isErr) {
 			this.#refuseArrival(arrival, admitted.error, undefined, context);
--- a/packages/steering/src/server-owners.ts
+++ b/packages/steering/src/server-owners.ts
@@ -22,7 +22,7 @@
 		this.#members = members;
 	}
 
-	/** Whether this host is the server's owner among all hosts. */
+	/** Whether this host is the server's owner among all hosts with requests. */
 	isOwner({id}: BackendServer, now: Milliseconds): boolean {
 		return this.#isFirst(id, undefined, now);
 	}
@@ -49,9 +49,13 @@
 		region: string | undefined,
 		now: Milliseconds,
 	): string {
+		const least = this.#members.computeActiveRate(0);
 		const others = this.#members
 			.listLive(now)
-			.filter(({digest}) => digest?.isReady === true)
+			.filter(
+				({digest}) =>
+					digest?.isReady === true && digest.requestsPerSecond >= least,
+			)
 			.map(({host}) => host);
 		const hosts = [this.#self, ...others];
 		const near = hosts.filter((host) => host.region === region);
