--- /dev/null
+++ b/packages/steering/__tests__/object-memory.test.ts
@@ -0,0 +1,69 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {ObjectMemory} from '../src/object-memory.js';
+import {
+	createConfiguration,
+	createCustomer,
+	createRoute,
+} from './support/configuration.js';
+import {FleetBench, sendStreams} from './support/fleet-bench.js';
+import {createRandom} from './support/random.js';
+
+const regions = ['east', 'west', 'north'];
+const end = 30_000;
+
+describe('how many objects servers keep', () => {
+	for (const kept of [8, 15, 40]) {
+		it(`is learnt from answers, though one in fifty misleads (${kept})`, () => {
+			const memory = new ObjectMemory();
+			const random = createRandom(kept);
+			for (let answer = 0; answer < 3000; answer++) {
+				const position = Math.floor(random() * 60);
+				const isMisleading = random() < 0.02;
+				memory.onAnswer(position, position < kept !== isMisleading);
+			}
+
+			expect(Math.abs(memory.kept - kept)).toBeLessThanOrEqual(3);
+		});
+	}
+});
+
+describe('a load of twice what fits, for more objects than servers keep', () => {
+	it('is answered in its objective to one in three callers, in all of 30 s', () => {
+		const bench = new FleetBench({
+			regions,
+			hostsPerRegion: 7,
+			configuration: createConfiguration({
+				routes: [createRoute({timeoutMs: 2000, latencyObjectiveMs: 500})],
+				customers: [createCustomer({})],
+			}),
+			serversPerRegion: [20, 24, 5],
+			slots: 3,
+			kept: 15,
+			regionDelay: 12,
+			service: 'desk',
+			seed: 1,
+		});
+		for (let at = 1000; at < end; at += 1000) {
+			bench.schedule(at, () => {
+				bench.confirm();
+			});
+		}
+
+		const stream = {path: '/read/', key: 'key', objects: 458, timeLeft: 3000};
+		sendStreams(bench, regions, [{...stream, perSecond: 450}], {
+			from: 2000,
+			to: end,
+			isShared: true,
+		});
+		bench.runUntil(end + 3000);
+		const late = [...bench.outcomes.values()].filter(
+			({sentAt}) => sentAt >= end - 8000,
+		);
+		const inTime = late.filter(
+			({result, sentAt, endedAt}) =>
+				result === 'answered' && endedAt! - sentAt <= 500,
+		);
+		expect(inTime.length / late.length).toBeGreaterThanOrEqual(1 / 3);
+	});
+});
--- a/packages/steering/__tests__/service-pool.test.ts
+++ b/packages/steering/__tests__/service-pool.test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {KnownObjects} from '../src/known-objects.js';
+import {ObjectMemory} from '../src/object-memory.js';
 import {ServerState} from '../src/server-state.js';
 import {ServicePool} from '../src/service-pool.js';
 import {createServer} from './support/kernel-session.js';
@@ -14,6 +15,7 @@
 			createServer({id: `server-${index}`, region}),
 			0,
 			known,
+			new ObjectMemory(),
 		);
 	});
 }
@@ -69,7 +71,12 @@
 describe('what servers have at hand', () => {
 	it('forgets a server that left', () => {
 		const objects = new KnownObjects();
-		const state = new ServerState(createServer({}), 0, objects);
+		const state = new ServerState(
+			createServer({}),
+			0,
+			objects,
+			new ObjectMemory(),
+		);
 		state.onHandled(5);
 		expect([...objects.list(5)]).toEqual([state]);
 		state.forgetObjects();
@@ -78,7 +85,12 @@
 
 	it('forgets the oldest of many objects', () => {
 		const objects = new KnownObjects();
-		const state = new ServerState(createServer({}), 0, objects);
+		const state = new ServerState(
+			createServer({}),
+			0,
+			objects,
+			new ObjectMemory(),
+		);
 		for (let object = 0; object < 100; object++) {
 			state.onHandled(object);
 		}
--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@parsleyvale/shared';
 import {KnownObjects} from './known-objects.js';
 import type {BackendServer} from './model.js';
+import {ObjectMemory} from './object-memory.js';
 import {ServerState} from './server-state.js';
 import {ServicePool} from './service-pool.js';
 
@@ -26,6 +27,8 @@
 	#revision = -1;
 	#evacuationsRevision = -1;
 	#evacuated: ReadonlySet<string> = new Set();
+	/** What servers of each service keep at hand. */
+	readonly #memories = new Map<string, ObjectMemory>();
 	readonly #states = new Map<string, ServerState>();
 	readonly #pools = new Map<string, ServicePool>();
 	/** For each other host, its requests that run at each server. */
@@ -95,6 +98,13 @@
 		this.#loads.set(host, inFlight);
 	}
 
+	/** How many objects servers of the service keep at hand. */
+	getMemory(service: string): ObjectMemory {
+		const memory = this.#memories.get(service) ?? new ObjectMemory();
+		this.#memories.set(service, memory);
+		return memory;
+	}
+
 	findPool(service: string): ServicePool | undefined {
 		return this.#pools.get(service);
 	}
@@ -156,7 +166,7 @@
 			state !== undefined && state.server.incarnation !== server.incarnation;
 		if (state === undefined || isRestarted) {
 			state?.forgetObjects();
-			this.#states.set(server.id, new ServerState(server, now, this.known));
+			this.#states.set(server.id, this.#createState(server, now));
 			return isRestarted ? 'restarted' : 'joined';
 		}
 
@@ -173,6 +183,15 @@
 		return server.isDraining && !before.isDraining ? 'draining' : undefined;
 	}
 
+	#createState(server: BackendServer, now: Milliseconds): ServerState {
+		return new ServerState(
+			server,
+			now,
+			this.known,
+			this.getMemory(server.service),
+		);
+	}
+
 	#rebuildPools(): void {
 		const byService = new Map<string, ServerState[]>();
 		for (const state of this.#states.values()) {
--- a/packages/steering/src/load-report.ts
+++ b/packages/steering/src/load-report.ts
@@ -15,7 +15,7 @@
 		}
 
 		for (const {objectHash, sentAt, expected} of state.running) {
-			if (!state.hasHandled(objectHash)) {
+			if (!state.hasAtHand(objectHash)) {
 				const left = Math.max(0, Math.round(sentAt + expected - now));
 				firstWork.push([id, objectHash, left]);
 			}
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -75,8 +75,20 @@
 	readonly knownIn: Milliseconds | undefined;
 };
 
-/** A server that may take the request, and its rank in the object's order among its region's. */
-type Candidate = {readonly state: ServerState; readonly rank: number};
+/** A server that may take the request, and its place in the object's order. */
+type Candidate = {
+	readonly state: ServerState;
+	/** Whether it is the first of all that may be used. */
+	readonly isFirst: boolean;
+	/** Its rank among those of its region. */
+	readonly rank: number;
+};
+
+/** What bears on a candidate besides the server itself. */
+type Weighing = {
+	readonly isFirst: boolean;
+	readonly utilization: number;
+};
 
 type Weighed = {
 	/** Until the server knows the object; undefined: send at once. */
@@ -161,13 +173,8 @@
 			return state.onFailed(running, now);
 		}
 
-		state.onAnswered(running, objectHash, now);
+		this.#observeWork(place, route, ended, now);
 		this.#handled.push({server: state.server.id, objectHash, at: now});
-		if (!place.hasQueued) {
-			const work = now - running.sentAt - place.way;
-			this.times.observe(route, place.isWarm, Math.max(1, work));
-		}
-
 		return false;
 	}
 
@@ -180,6 +187,34 @@
 		return this.#handled.map(({server, objectHash}) => [server, objectHash]);
 	}
 
+	/** An answer shows how long work takes, and whether the server knew the object. */
+	#observeWork(
+		place: Place,
+		route: SteeringRoute,
+		{load}: SteeringAttemptEnded,
+		now: Milliseconds,
+	): void {
+		const {state, running, objectHash, way} = place;
+		const work = Math.max(1, now - running.sentAt - way);
+		const {warm, cold} = this.times.get(route);
+		const isSlow = !this.times.isWarm(route, work);
+		// Not the server was slow: it did not have the object any more.
+		const isForgotten = place.isWarm && isSlow && (load?.waiting ?? 0) === 0;
+		const usual = running.expected + (isForgotten ? cold - warm : 0);
+		const position = state.findPosition(objectHash);
+		state.onAnswered(running, objectHash, usual, now);
+		if (place.hasQueued) {
+			return;
+		}
+
+		this.times.observe(route, work);
+		if (position !== undefined && route.isSticky) {
+			this.#beliefs.fleet
+				.getMemory(state.server.service)
+				.onAnswer(position, !isSlow);
+		}
+	}
+
 	/**
 	 * The first servers of each region in the object's order, and those that
 	 * have it at hand. All servers are looked through only where none of these
@@ -200,9 +235,11 @@
 		const ranked = new Set(candidates.map(({state}) => state));
 		for (const state of fleet.known.list(request.objectHash)) {
 			const isNew =
-				!ranked.has(state) && state.server.service === request.service;
+				!ranked.has(state) &&
+				state.server.service === request.service &&
+				state.hasAtHand(request.objectHash);
 			if (isNew && this.#isAllowed(state, request, now)) {
-				candidates.push({state, rank: weighedOfRegion});
+				candidates.push({state, rank: weighedOfRegion, isFirst: false});
 			}
 		}
 
@@ -223,7 +260,8 @@
 			const rank = ranks.get(region) ?? 0;
 			if (rank < weighedOfRegion && this.#isAllowed(state, request, now)) {
 				ranks.set(region, rank + 1);
-				candidates.push({state, rank});
+				const isFirst = candidates.length === 0;
+				candidates.push({state, rank, isFirst});
 			}
 		}
 
@@ -270,15 +308,15 @@
 		const pool = this.#beliefs.fleet.findPool(request.service);
 		const utilization = this.#utilization.compute(request.service, pool, now);
 		const isKnownSomewhere = candidates.some(({state}) =>
-			state.hasHandled(request.objectHash),
+			state.hasAtHand(request.objectHash),
 		);
 		const mayCopy = (state: ServerState) =>
 			!isKnownSomewhere ||
 			utilization < copyUtilization ||
 			this.#limits.owners.isOwner(state.server, now);
 		let best: Weighed | undefined;
-		for (const {state, rank} of candidates) {
-			const weighed = this.#weigh(state, request, {rank, utilization}, now);
+		for (const {state, isFirst} of candidates) {
+			const weighed = this.#weigh(state, request, {isFirst, utilization}, now);
 			const isBetter = best === undefined || weighed.cost < best.cost;
 			const isAllowed = weighed.isKnown || mayCopy(state);
 			if (isBetter && isAllowed && hasRoom(weighed, request, now)) {
@@ -292,16 +330,16 @@
 	#weigh(
 		state: ServerState,
 		{route, objectHash, bodyBytes}: PlaceRequest,
-		{rank, utilization}: {readonly rank: number; readonly utilization: number},
+		{isFirst, utilization}: Weighing,
 		now: Milliseconds,
 	): Weighed {
 		const {warm, cold} = this.times.get(route);
-		const isKnown = state.hasHandled(objectHash);
+		const isKnown = state.hasAtHand(objectHash);
 		const knownIn = isKnown ? undefined : state.findFirstWork(objectHash, now);
 		const chance =
 			isKnown || knownIn !== undefined
 				? knownBySending
-				: rank === 0
+				: isFirst
 					? knownAsFirst
 					: knownOtherwise;
 		const work = chance * warm + (1 - chance) * cold;
@@ -312,8 +350,8 @@
 		const suspectWeight = state.isSuspect ? suspectFactor : 1;
 		const way = this.#delays.compute(state.server, bodyBytes);
 		const time = way + (knownIn ?? 0) + (wait + work) * slowness;
-		const cost =
-			(time + work * slowness * toSlotWeight(utilization)) * suspectWeight;
+		const slotCost = work * slowness * toSlotWeight(utilization);
+		const cost = (time + slotCost) * suspectWeight;
 		return {state, load, way, wait, work, isKnown, knownIn, time, cost};
 	}
 
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -1,6 +1,7 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
 import type {ReportedLoad} from './event.js';
 import type {KnownObjects} from './known-objects.js';
+import type {ObjectMemory} from './object-memory.js';
 import type {BackendServer} from './model.js';
 
 /** How long a reported load says something of the present; about one answer's work. */
@@ -14,8 +15,8 @@
 const slownessGain = 0.15;
 const fastest = 0.3;
 const slowest = 30;
-/** Objects that a server is taken to keep at hand, the latest ones. */
-const objectsAtHand = 24;
+/** Objects that are remembered of a server, the latest ones: more than servers keep. */
+const rememberedObjects = 64;
 
 /** A request that runs at a server. */
 export type Running = {
@@ -49,13 +50,16 @@
 	readonly #objects = new Set<number>();
 
 	readonly #known: KnownObjects;
+	readonly #memory: ObjectMemory;
 
 	constructor(
 		public server: BackendServer,
 		now: Milliseconds,
 		known: KnownObjects,
+		memory: ObjectMemory,
 	) {
 		this.#known = known;
+		this.#memory = memory;
 		this.coldUntil = now + server.coldRemainingMs;
 	}
 
@@ -100,8 +104,28 @@
 		return Math.min(slowest, slowness);
 	}
 
-	hasHandled(object: number): boolean {
-		return this.#objects.has(object);
+	/** Whether the object should still be at hand. */
+	hasAtHand(object: number): boolean {
+		const position = this.findPosition(object);
+		return position !== undefined && position < this.#memory.kept;
+	}
+
+	/** How many objects it handled after this one; undefined: not this one, or long ago. */
+	findPosition(object: number): number | undefined {
+		if (!this.#objects.has(object)) {
+			return undefined;
+		}
+
+		let before = 0;
+		for (const other of this.#objects) {
+			if (other === object) {
+				break;
+			}
+
+			before += 1;
+		}
+
+		return this.#objects.size - 1 - before;
 	}
 
 	/**
@@ -134,11 +158,17 @@
 		this.isUsed = true;
 	}
 
-	onAnswered(running: Running, object: number, now: Milliseconds): void {
+	/** `usual`: the time that such an answer usually takes. */
+	onAnswered(
+		running: Running,
+		object: number,
+		usual: Milliseconds,
+		now: Milliseconds,
+	): void {
 		this.running.delete(running);
 		this.#failures = 0;
 		this.#ejections = 0;
-		const ratio = (now - running.sentAt) / running.expected;
+		const ratio = (now - running.sentAt) / usual;
 		const bounded = Math.min(slowest, Math.max(fastest, ratio));
 		this.#slowness += slownessGain * (bounded - this.#slowness);
 		this.onHandled(object);
@@ -174,7 +204,7 @@
 		this.#objects.delete(object);
 		this.#objects.add(object);
 		this.#known.add(object, this);
-		if (this.#objects.size > objectsAtHand) {
+		if (this.#objects.size > rememberedObjects) {
 			const [oldest] = this.#objects;
 			this.#objects.delete(oldest!);
 			this.#known.remove(oldest!, this);
--- a/packages/steering/src/work-times.ts
+++ b/packages/steering/src/work-times.ts
@@ -28,10 +28,16 @@
 		);
 	}
 
-	/** Takes the time of an answer; `isWarm`: the object was known there. */
-	observe(route: SteeringRoute, isWarm: boolean, time: Milliseconds): void {
+	/** Whether work of that time was on an object that the server knew. */
+	isWarm(route: SteeringRoute, time: Milliseconds): boolean {
+		const {warm, cold} = this.get(route);
+		return time < (warm + cold) / 2;
+	}
+
+	/** Takes the time of an answer. */
+	observe(route: SteeringRoute, time: Milliseconds): void {
 		const times = {...this.get(route)};
-		const kind = isWarm ? 'warm' : 'cold';
+		const kind = this.isWarm(route, time) ? 'warm' : 'cold';
 		const bounded = Math.min(time, times[kind] * 3);
 		times[kind] += gain * (bounded - times[kind]);
 		this.#times.set(route.name, times);
