--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -22,6 +22,8 @@
 
 /** Time-outs are kept to within this: a fifth of what a late answer may cost. */
 const tickInterval: Milliseconds = 50;
+/** While no request is open, nothing has a time-out that short. */
+const idleTickInterval: Milliseconds = 200;
 /** A stopping host takes new connections for so long: look-up answers that name it run out. */
 const acceptAfterStop: Milliseconds = 2500;
 /** It ends this much before it would be killed. */
@@ -108,9 +110,7 @@
 	/** Listens for callers and other hosts. */
 	async start(): Promise<void> {
 		await Promise.all([this.#front.listen(), this.#peers.listen()]);
-		this.#ticker = setInterval(() => {
-			this.#tick();
-		}, tickInterval);
+		this.#scheduleTick();
 		const {self, isFirstStart} = this.#options.steering;
 		this.#options.log.log('belief', 'started', {
 			incarnation: self.incarnation,
@@ -169,12 +169,22 @@
 		}
 
 		this.#isClosed = true;
-		clearInterval(this.#ticker);
+		clearTimeout(this.#ticker);
 		this.#front.close();
 		this.#peers.close();
 		this.#connections.close();
 	}
 
+	#scheduleTick(): void {
+		const interval = this.#front.size > 0 ? tickInterval : idleTickInterval;
+		this.#ticker = setTimeout(() => {
+			this.#tick();
+			if (!this.#isClosed) {
+				this.#scheduleTick();
+			}
+		}, interval);
+	}
+
 	#tick(): void {
 		if (this.#suspension.hasJumped()) {
 			this.handle({type: 'suspended'});
--- a/packages/steering/__tests__/beliefs.test.ts
+++ b/packages/steering/__tests__/beliefs.test.ts
@@ -209,6 +209,18 @@
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
 	});
 
+	it('that left while a request ran there get no other for its object', () => {
+		const session = new KernelSession();
+		session.begin([createServer({})]);
+		const {id} = session.send({affinity: '7'});
+		session.list([createServer({id: 'server-2'})], 2);
+		session.end(id, 1, {outcome: 'answered', status: 200});
+		session.send({affinity: '8'});
+		expect(listDecisions(session.send({affinity: '7'}).effects)).toEqual([
+			'forward server-2',
+		]);
+	});
+
 	it('that leave while the store is well are gone at once', () => {
 		const session = new KernelSession();
 		session.begin([createServer({})]);
--- a/packages/steering/__tests__/grown-fleet.test.ts
+++ b/packages/steering/__tests__/grown-fleet.test.ts
@@ -6,6 +6,11 @@
 	createRoute,
 } from './support/configuration.js';
 import {FleetBench, sendStreams} from './support/fleet-bench.js';
+import {
+	createDigest,
+	createHost,
+	KernelSession,
+} from './support/kernel-session.js';
 
 const regions = ['east', 'west', 'north'];
 const end = 12_000;
@@ -55,6 +60,47 @@
 	return bench;
 }
 
+describe('an idle host', () => {
+	it('tells all hosts of itself at first, later only busy ones and its region', () => {
+		const session = new KernelSession({
+			random: () => 0,
+			self: createHost({name: 'quiet'}),
+		});
+		session.begin([]);
+		const tellOfOthers = (sequence: number) => {
+			for (const region of ['east', 'west', 'north']) {
+				for (const index of [1, 2, 3, 4, 5]) {
+					const digest = createDigest({
+						name: `${region}-${index}`,
+						address: `${region}-${index}`,
+						region,
+						sequence,
+						requestsPerSecond: region === 'west' ? 10 : 0,
+					});
+					session.handle({type: 'digest-received', digest});
+				}
+			}
+		};
+
+		const listTold = (span: number) => {
+			const sent = session
+				.wait(span)
+				.flatMap((effect) => (effect.type === 'send-digest' ? effect.to : []));
+			return new Set(sent.map(({peerAddress}) => peerAddress.split('-')[0]));
+		};
+
+		tellOfOthers(1);
+		expect(listTold(2500)).toEqual(new Set(['east', 'west', 'north']));
+		tellOfOthers(2);
+		session.wait(4000);
+		tellOfOthers(3);
+		// What it read itself would go to all; five others of its view read now.
+		const effects = session.take('set-reading', {type: 'tick'});
+		expect(effects.every(({isReading}) => !isReading)).toEqual(true);
+		expect(listTold(1400)).toEqual(new Set(['east', 'west']));
+	});
+});
+
 describe('a fleet of which all hosts come back at once', () => {
 	it('refuses few requests of customers within their rates', () => {
 		const {outcomes} = runFleet(30, false);
--- a/packages/steering/__tests__/service-pool.test.ts
+++ b/packages/steering/__tests__/service-pool.test.ts
@@ -79,7 +79,7 @@
 		);
 		state.onHandled(5);
 		expect([...objects.list(5)]).toEqual([state]);
-		state.forgetObjects();
+		state.onLeft();
 		expect([...objects.list(5)]).toEqual([]);
 	});
 
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -89,13 +89,6 @@
 		return (missing / ratePerSecond) * second;
 	}
 
-	/** What a host may take of the shared part before others have heard of it. */
-	#computeMostUnreported(burst: number): number {
-		const {members} = this.#options;
-		const hosts = members.listActive(0).length + 1;
-		return Math.max(1, (burst * sharedPart) / hosts) * reportsOnTheWay;
-	}
-
 	/** Gives a token back for a request that no server ran. */
 	giveBack({name, burst}: SteeringCustomer): void {
 		const bucket = this.#buckets.get(name);
@@ -169,6 +162,13 @@
 		}
 	}
 
+	/** What a host may take of the shared part before others have heard of it. */
+	#computeMostUnreported(burst: number): number {
+		const {members} = this.#options;
+		const hosts = members.listActive(0).length + 1;
+		return Math.max(1, (burst * sharedPart) / hosts) * reportsOnTheWay;
+	}
+
 	#refill(customer: SteeringCustomer, now: Milliseconds): Bucket {
 		const {name, ratePerSecond, burst} = customer;
 		const bucket = this.#getBucket(customer, now);
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -18,6 +18,10 @@
 const hostsAtFullPace = 20;
 /** The same for those of a region. */
 const regionHostsAtFullPace = 4;
+/** Hosts that follow the store confirm the configuration to all this often: a fifth of the time for which keys count as fresh. */
+const confirmInterval: Milliseconds = 1000;
+/** A host that has just started tells all, until none takes it for silent any more. */
+const introductionTime: Milliseconds = 6000;
 /** What others must hear at once is sent after this time at the earliest. */
 const reportInterval: Milliseconds = 50;
 /** What servers handled goes out with two digests to all hosts, so that one may be lost. */
@@ -40,6 +44,7 @@
 	#lastToAll: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastClean: Milliseconds = 0;
 	#wasActive = false;
+	#startedAt: Milliseconds | undefined;
 	#reportedVersion = -1;
 	#reportedRevision = -1;
 	#reportedEvacuations = -1;
@@ -68,7 +73,10 @@
 		const pace = toPace(known.length, hostsAtFullPace);
 		this.#reportNews(known, pace, context);
 		const isActive = this.#beliefs.isActive(now);
-		if (now - this.#lastToAll >= fleetInterval * pace) {
+		const interval = this.#beliefs.isReading
+			? Math.min(confirmInterval, fleetInterval * pace)
+			: fleetInterval * pace;
+		if (now - this.#lastToAll >= interval) {
 			this.#lastToAll = now;
 			this.#sendToAll(known, isActive, context);
 		}
@@ -135,7 +143,10 @@
 		}
 	}
 
-	/** Active hosts, which count customers' rates, also hear what an idle one admitted. */
+	/**
+	 * Active hosts, which count customers' rates, also hear what an idle one
+	 * admitted. Idle hosts of different regions need not hear each other.
+	 */
 	#sendToAll(
 		known: readonly Member[],
 		isActive: boolean,
@@ -143,7 +154,15 @@
 	): void {
 		const {now} = context;
 		const active = new Set(this.#listActive(now));
-		const idle = known.filter((member) => !active.has(member));
+		const {isReading, settings} = this.#beliefs;
+		this.#startedAt ??= now;
+		const isNew = now - this.#startedAt < introductionTime;
+		const isToAll = isActive || isReading || isNew;
+		const idle = known.filter(
+			(member) =>
+				!active.has(member) &&
+				(isToAll || member.host.region === settings.self.region),
+		);
 		this.#sendShort(idle, context);
 		if (!isActive) {
 			const customers = this.#limits.rates.describe(now);
--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -148,7 +148,7 @@
 		const changes: FleetChange[] = [];
 		for (const [id, {server, missingUntil}] of this.#states) {
 			if (missingUntil !== undefined && missingUntil <= now) {
-				this.#states.get(id)?.forgetObjects();
+				this.#states.get(id)?.onLeft();
 				this.#states.delete(id);
 				changes.push({server, change: 'left'});
 			}
@@ -165,7 +165,7 @@
 		const isRestarted =
 			state !== undefined && state.server.incarnation !== server.incarnation;
 		if (state === undefined || isRestarted) {
-			state?.forgetObjects();
+			state?.onLeft();
 			this.#states.set(server.id, this.#createState(server, now));
 			return isRestarted ? 'restarted' : 'joined';
 		}
--- a/packages/steering/src/readers.ts
+++ b/packages/steering/src/readers.ts
@@ -5,7 +5,7 @@
 /** Hosts that read the store for all: some may be lost, or cut from it, at once. */
 const readerCount = 5;
 /** A host whose configuration has not been confirmed for so long asks the store itself. */
-const longestUnconfirmed: Milliseconds = 2500;
+const longestUnconfirmed: Milliseconds = 3000;
 
 /**
  * Which hosts follow the store. Its calls are limited and do not grow with the
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -41,6 +41,7 @@
 	readonly #othersFirst = new Map<number, Milliseconds>();
 	/** Work of this server against that of others: above 1 it is slower. */
 	#slowness = 1;
+	#isGone = false;
 	#failures = 0;
 	#ejections = 0;
 	#ejectedUntil: Milliseconds = 0;
@@ -65,7 +66,12 @@
 
 	/** Whether the server may be chosen at all. */
 	isUsable(now: Milliseconds): boolean {
-		return !this.server.isDraining && !this.isEvacuated && !this.isEjected(now);
+		return (
+			!this.#isGone &&
+			!this.server.isDraining &&
+			!this.isEvacuated &&
+			!this.isEjected(now)
+		);
 	}
 
 	/** After its pause, an ejected server gets one request at a time. */
@@ -201,6 +207,10 @@
 
 	/** It has handled a request for the object, of this host or another. */
 	onHandled(object: number): void {
+		if (this.#isGone) {
+			return;
+		}
+
 		this.#objects.delete(object);
 		this.#objects.add(object);
 		this.#known.add(object, this);
@@ -211,8 +221,9 @@
 		}
 	}
 
-	/** The server has left: nobody finds it by an object any more. */
-	forgetObjects(): void {
+	/** The server has left; requests that run there may still be answered. */
+	onLeft(): void {
+		this.#isGone = true;
 		for (const object of this.#objects) {
 			this.#known.remove(object, this);
 		}
