--- a/packages/steering/__tests__/limits.test.ts
+++ b/packages/steering/__tests__/limits.test.ts
@@ -7,6 +7,11 @@
 	createRoute,
 } from './support/configuration.js';
 import {FleetBench, sendStreams, type Outcome} from './support/fleet-bench.js';
+import {
+	createDigest,
+	createServer,
+	KernelSession,
+} from './support/kernel-session.js';
 
 const regions = ['east', 'west', 'north'];
 const end = 25_000;
@@ -90,6 +95,51 @@
 	});
 });
 
+describe('tokens that are taken while a bucket is low', () => {
+	it('are told to hosts of other regions at once, whatever the region hears', () => {
+		const session = new KernelSession();
+		session.begin(
+			[createServer({slots: 100})],
+			createConfiguration({
+				customers: [createCustomer({ratePerSecond: 50, burst: 60})],
+			}),
+		);
+		for (const region of ['east', 'west']) {
+			const digest = createDigest({name: region, address: region, region});
+			session.handle({type: 'digest-received', digest});
+		}
+
+		for (let count = 0; count < 30; count++) {
+			session.send();
+		}
+
+		session.wait(100);
+		let unheard = 0;
+		let most = 0;
+		for (let round = 0; round < 14; round++) {
+			for (let sent = 0; sent < 5; sent++) {
+				const {effects} = session.send();
+				unheard += effects.some(({type}) => type === 'forward') ? 1 : 0;
+			}
+
+			most = Math.max(most, unheard);
+			const isTold = session
+				.wait(100)
+				.some(
+					(effect) =>
+						effect.type === 'send-digest' &&
+						effect.digest.customers !== undefined &&
+						effect.to.some(({peerAddress}) => peerAddress === 'west'),
+				);
+			unheard = isTold ? 0 : unheard;
+		}
+
+		// A host may take 8 (0.4 of the burst over three hosts) before others
+		// hear of it, and those of one more round.
+		expect(most).toBeLessThanOrEqual(8 + 5);
+	});
+});
+
 describe('a cold server', () => {
 	it('gets its cold rate from all hosts together, and no more', () => {
 		const bench = createBench({ratePerSecond: 0, burst: 0}, 3);
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -146,13 +146,19 @@
 			fadeDemand(bucket, now);
 			if (bucket.demand > leastDemand || bucket.reported !== bucket.admitted) {
 				described[name] = [toTenths(bucket.demand), bucket.admitted];
-				bucket.reported = bucket.admitted;
 			}
 		}
 
 		return described;
 	}
 
+	/** All hosts that count have been told of what was admitted here. */
+	markReported(): void {
+		for (const bucket of this.#buckets.values()) {
+			bucket.reported = bucket.admitted;
+		}
+	}
+
 	/** Begins buckets of customers that are new, so that others' counts find them. */
 	define(customers: readonly SteeringCustomer[], now: Milliseconds): void {
 		for (const customer of customers) {
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -168,6 +168,7 @@
 			const customers = this.#limits.rates.describe(now);
 			const digest = {...this.#createDigest(now), customers};
 			this.#send([...active], digest, context);
+			this.#limits.rates.markReported();
 		}
 	}
 
@@ -197,6 +198,7 @@
 		this.#lastInRegion = context.now;
 		this.#lastToActive = context.now;
 		this.#send(to, this.#createWholeDigest(context.now), context);
+		this.#limits.rates.markReported();
 	}
 
 	#sendShort(to: readonly Member[], context: SteeringContext): void {
