--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -8,6 +8,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {KernelEvent} from '@parsleyvale/kernel';
+import {RequestPipelines} from '@parsleyvale/pipelining';
 import {
 	ErrorKind,
 	getErrorResponse,
@@ -35,6 +36,8 @@
 	readonly endpoint: Endpoint;
 	readonly clock: Clock;
 	readonly connections: ServerConnections;
+	/** Limit on the requests of one connection in progress at the same time. */
+	readonly maximumPipelinedRequests: number;
 	readonly onEvent: (event: KernelEvent) => void;
 };
 
@@ -44,7 +47,7 @@
 	readonly #server: Server;
 	readonly #exchanges = new Map<RequestId, Exchange>();
 	readonly #pendingLookUps = new Map<RequestId, ServerResponse>();
-	#isStopping = false;
+	readonly #pipelines: RequestPipelines;
 
 	constructor(options: CallerServerOptions) {
 		this.#options = options;
@@ -55,18 +58,28 @@
 			// A missing Host is refused by parseCallerHeader, with a JSON error body.
 			requireHostHeader: false,
 		});
+		this.#pipelines = new RequestPipelines({
+			server: this.#server,
+			maximumOpenRequests: options.maximumPipelinedRequests,
+			formatRefusal: formatParseRefusal,
+		});
 		this.#server.on('request', (request, response) => {
-			void this.#handleRequest(request, response, false);
+			this.#pipelines.add(request, response, () => {
+				void this.#handleRequest(request, response, false);
+			});
 		});
 		this.#server.on('checkContinue', (request, response) => {
-			void this.#handleRequest(request, response, true);
+			this.#pipelines.add(request, response, () => {
+				void this.#handleRequest(request, response, true);
+			});
 		});
-		this.#server.on('checkExpectation', (_request, response) => {
-			refuseAndClose(response, ErrorKind.MalformedRequest);
+		this.#server.on('checkExpectation', (request, response) => {
+			this.#pipelines.add(request, response, () => {
+				refuseAndClose(response, ErrorKind.MalformedRequest);
+			});
 		});
-		this.#server.on('clientError', onClientError);
 		this.#server.on('connect', (_request, socket) => {
-			onClientError(new Error('CONNECT is not supported.'), socket);
+			refuseConnect(socket);
 		});
 	}
 
@@ -90,9 +103,9 @@
 		response?.end(JSON.stringify(answer));
 	}
 
-	/** From now on, closes each connection after the response to a request. */
+	/** From now on, closes each connection after the response to its last started request. */
 	stop(): void {
-		this.#isStopping = true;
+		this.#pipelines.startClosing();
 	}
 
 	async close(): Promise<void> {
@@ -111,7 +124,7 @@
 	): Promise<void> {
 		request.on('error', () => undefined);
 		response.on('error', () => undefined);
-		if (this.#isStopping) {
+		if (this.#pipelines.shouldClose(response)) {
 			response.setHeader('connection', 'close');
 		}
 
@@ -246,28 +259,31 @@
 	sendRefusal(response, kind);
 }
 
-function onClientError(error: Error, socket: Duplex): void {
-	const isOverflow =
-		(error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW';
-	const kind = isOverflow
-		? ErrorKind.RequestTooLarge
-		: ErrorKind.MalformedRequest;
+function formatParseRefusal({code}: NodeJS.ErrnoException): string {
+	const kind =
+		code === 'HPE_HEADER_OVERFLOW'
+			? ErrorKind.RequestTooLarge
+			: ErrorKind.MalformedRequest;
+	const body = JSON.stringify(toRefusalBody(kind, undefined));
+	const status = getErrorResponse(kind).httpStatus;
+	return (
+		`HTTP/1.1 ${status} Refused\r\n` +
+		'content-type: application/json\r\n' +
+		`content-length: ${body.length}\r\n` +
+		'x-not-run: true\r\n' +
+		'connection: close\r\n\r\n' +
+		body
+	);
+}
+
+/** A connection on which a response may be in progress is closed without another one. */
+function refuseConnect(socket: Duplex): void {
 	if (!socket.writable || (socket as Socket).bytesWritten > 0) {
-		// A response may be in progress; another one must not be written into it.
 		socket.destroy();
 		return;
 	}
 
-	const body = JSON.stringify(toRefusalBody(kind, undefined));
-	const status = getErrorResponse(kind).httpStatus;
-	socket.end(
-		`HTTP/1.1 ${status} Refused\r\n` +
-			'content-type: application/json\r\n' +
-			`content-length: ${body.length}\r\n` +
-			'x-not-run: true\r\n' +
-			'connection: close\r\n\r\n' +
-			body,
-	);
+	socket.end(formatParseRefusal(new Error('CONNECT is not supported.')));
 }
 
 export function createCallerServer(options: CallerServerOptions): CallerServer {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -102,6 +102,7 @@
 			endpoint: settings.callers,
 			clock: this.#clock,
 			connections: this.#serverConnections,
+			maximumPipelinedRequests: settings.maximumPipelinedRequests,
 			onEvent: (event) => {
 				this.#driver.handle(event);
 			},
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -5,7 +5,13 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {ErrorKind, type Clock, type Endpoint} from '@parsleyvale/shared';
+import {RequestPipelines} from '@parsleyvale/pipelining';
+import {
+	ErrorKind,
+	type Clock,
+	type Endpoint,
+	type Milliseconds,
+} from '@parsleyvale/shared';
 import type {CallerLimits, SteeringEvent} from '@parsleyvale/steering';
 import {CallerRequestReader} from './caller-request.js';
 import {Exchange, sendRefusal} from './exchange.js';
@@ -24,6 +30,8 @@
 	readonly headerNames: HeaderNames;
 	readonly clock: Clock;
 	readonly connections: ServerConnections;
+	/** Limit on the requests of one connection in progress at the same time. */
+	readonly maximumPipelinedRequests: number;
 	readonly onEvent: (event: SteeringEvent) => void;
 };
 
@@ -32,9 +40,9 @@
 	readonly #options: CallerServerOptions;
 	readonly #reader: CallerRequestReader;
 	readonly #server: Server;
+	readonly #pipelines: RequestPipelines;
 	readonly #exchanges = new Map<string, Exchange>();
 	#maximumBodyBytes = defaultMaximumBodyBytes;
-	#isClosing = false;
 	#openRequestCount = 0;
 
 	constructor(options: CallerServerOptions) {
@@ -45,8 +53,16 @@
 			requestTimeout: 0,
 			noDelay: true,
 		});
+		this.#pipelines = new RequestPipelines({
+			server: this.#server,
+			maximumOpenRequests: options.maximumPipelinedRequests,
+			formatRefusal: formatParseRefusal,
+		});
 		this.#server.on('request', (request, response) => {
-			void this.#handleRequest(request, response);
+			const arrivedAt = options.clock.now();
+			this.#pipelines.add(request, response, () => {
+				void this.#handleRequest(request, response, arrivedAt);
+			});
 		});
 	}
 
@@ -73,9 +89,9 @@
 		return this.#exchanges.get(id);
 	}
 
-	/** Makes every further response close its connection. */
+	/** Makes the last response of each connection close it. */
 	startClosing(): void {
-		this.#isClosing = true;
+		this.#pipelines.startClosing();
 	}
 
 	/** Stops accepting connections and closes the idle ones. */
@@ -97,8 +113,8 @@
 	async #handleRequest(
 		request: IncomingMessage,
 		response: ServerResponse,
+		arrivedAt: Milliseconds,
 	): Promise<void> {
-		const arrivedAt = this.#options.clock.now();
 		const id = randomUUID();
 		this.#openRequestCount += 1;
 		response.once('close', () => {
@@ -135,16 +151,18 @@
 			return;
 		}
 
-		const {onEvent, ...rest} = this.#options;
+		const {onEvent, headerNames, clock, connections} = this.#options;
 		const exchange = new Exchange({
-			...rest,
+			headerNames,
+			clock,
+			connections,
 			id,
 			callerRequest,
 			body,
 			isStreamedBody: bodyResult === 'long',
 			response,
 			onEvent,
-			shouldCloseConnection: () => this.#isClosing,
+			shouldCloseConnection: () => this.#pipelines.shouldClose(response),
 		});
 		this.#exchanges.set(id, exchange);
 		response.once('close', () => {
@@ -169,3 +187,15 @@
 		});
 	}
 }
+
+/** Status lines for requests that cannot be parsed, by error code; all others are answered with 400. */
+const parseRefusals = new Map([
+	['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+	['HPE_CHUNK_EXTENSIONS_OVERFLOW', '413 Payload Too Large'],
+	['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+]);
+
+function formatParseRefusal({code = ''}: NodeJS.ErrnoException): string {
+	const status = parseRefusals.get(code) ?? '400 Bad Request';
+	return `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+}
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -36,6 +36,8 @@
 	/** Endpoint for messages of other hosts. */
 	readonly peers: Endpoint;
 	readonly headerNames: HeaderNames;
+	/** Limit on the requests of one caller's connection in progress at the same time. */
+	readonly maximumPipelinedRequests: number;
 	readonly log: LogWriter;
 	readonly metrics: Metrics;
 	readonly clock?: Clock;
@@ -84,6 +86,7 @@
 			headerNames: options.headerNames,
 			clock: this.#clock,
 			connections: this.#connections,
+			maximumPipelinedRequests: options.maximumPipelinedRequests,
 			onEvent: (event) => {
 				this.handle(event);
 			},
@@ -112,6 +115,11 @@
 		);
 	}
 
+	/** Number of callers' requests without a complete response. */
+	get openRequestCount(): number {
+		return this.#callerServer.openRequestCount;
+	}
+
 	/** Starts listening for callers and other hosts. */
 	async start(): Promise<void> {
 		await Promise.all([
--- /dev/null
+++ b/packages/pipelining/src/index.ts
@@ -0,0 +1,5 @@
+export {
+	defaultMaximumPipelinedRequests,
+	RequestPipelines,
+	type RequestPipelinesOptions,
+} from './request-pipelines.js';
--- /dev/null
+++ b/packages/pipelining/src/request-pipelines.ts
@@ -0,0 +1,88 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {ConnectionPipeline} from './connection-pipeline.js';
+
+/** Default limit on the requests of one connection in progress at the same time. */
+export const defaultMaximumPipelinedRequests = 8;
+
+export type RequestPipelinesOptions = {
+	readonly server: Server;
+	readonly maximumOpenRequests: number;
+	/** Returns the bytes of a complete response to a request that cannot be parsed; it must announce `connection: close`. */
+	readonly formatRefusal: (error: NodeJS.ErrnoException) => string;
+};
+
+/**
+ * Applies the rules of HTTP/1.1 pipelining to the connections of a server: a
+ * limited number of safe requests of one connection are processed at the same
+ * time, all others one by one.
+ *
+ * @example
+ * const pipelines = new RequestPipelines({server, maximumOpenRequests: 8, formatRefusal});
+ * server.on('request', (request, response) => {
+ * 	pipelines.add(request, response, () => response.end('done'));
+ * });
+ */
+export class RequestPipelines {
+	readonly #options: RequestPipelinesOptions;
+	readonly #pipelines = new WeakMap<Socket, ConnectionPipeline>();
+	#isClosing = false;
+
+	constructor(options: RequestPipelinesOptions) {
+		this.#options = options;
+		options.server.on(
+			'clientError',
+			(error: NodeJS.ErrnoException, socket: Socket) => {
+				this.#onClientError(error, socket);
+			},
+		);
+	}
+
+	/** Calls `start` once the requests in front of this one on its connection allow it. */
+	add(
+		request: IncomingMessage,
+		response: ServerResponse,
+		start: () => void,
+	): void {
+		this.#getPipeline(request.socket).add({request, response, start});
+	}
+
+	/** From now on, no request is started behind another one. */
+	startClosing(): void {
+		this.#isClosing = true;
+	}
+
+	/**
+	 * Whether the response must announce the close of its connection: the server is
+	 * stopping, and no started request is behind this one.
+	 */
+	shouldClose(response: ServerResponse): boolean {
+		return (
+			this.#isClosing && this.#getPipeline(response.req.socket).isLast(response)
+		);
+	}
+
+	#getPipeline(socket: Socket): ConnectionPipeline {
+		const existing = this.#pipelines.get(socket);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const pipeline = new ConnectionPipeline({
+			socket,
+			maximumOpenRequests: this.#options.maximumOpenRequests,
+			isClosing: () => this.#isClosing,
+		});
+		this.#pipelines.set(socket, pipeline);
+		return pipeline;
+	}
+
+	#onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		this.#getPipeline(socket).endWith(this.#options.formatRefusal(error));
+	}
+}
--- a/packages/shared/src/schemas/settings.ts
+++ b/packages/shared/src/schemas/settings.ts
@@ -28,6 +28,8 @@
 		.default([]),
 	lookUpLifetimeMs: z.int().positive().default(2000),
 	stopTimeoutMs: z.int().positive().default(60_000),
+	/** Limit on the requests of one caller's connection in progress at the same time. */
+	maximumPipelinedRequests: z.int().positive().default(8),
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 });
 
