Fail responses without end and with a false length

Cause: http-parser-js bounds only the head of one message. Interim responses, chunk sizes, chunk extensions and trailers without end were accepted for as long as they came. It also takes a chunk size that is not a number for the last chunk, a negative or malformed length for an empty or endless body, and an unknown transfer encoding for a body up to the end of the connection: a cut body then looked complete to the caller.

Ruled out: status lines and header lines without end; the parser bounds them.

The framing is limited to 128 KB in a row; a false length fails the attempt as "may have run".

--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -143,6 +143,114 @@
 	});
 });
 
+/** Bytes that a faulty server sends again and again until its connection is closed. */
+const endlessBytes = {
+	'a status line': {start: '', repeated: 'x'.repeat(1024)},
+	'empty lines before the status line': {
+		start: '',
+		repeated: '\r\n'.repeat(512),
+	},
+	'a header line': {
+		start: 'HTTP/1.1 200 OK\r\nx-long: ',
+		repeated: 'x'.repeat(1024),
+	},
+	'header lines': {
+		start: 'HTTP/1.1 200 OK\r\n',
+		repeated: `x-more: ${'x'.repeat(1000)}\r\n`,
+	},
+	'interim responses': {
+		start: '',
+		repeated: 'HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\n',
+	},
+	'a chunk extension': {
+		start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;x=',
+		repeated: 'x'.repeat(1024),
+	},
+	'a chunk size': {
+		start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+		repeated: '0'.repeat(1024),
+	},
+	trailers: {
+		start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n',
+		repeated: `x-more: ${'x'.repeat(1000)}\r\n`,
+	},
+} as const;
+/** More than any part of a response other than its body may have. */
+const excessiveBytes = 1024 * 1024;
+
+describe('a server that sends without end', {timeout: 20_000}, () => {
+	for (const [name, {start, repeated}] of Object.entries(endlessBytes)) {
+		it(`${name} has its connection closed and the request failed`, async () => {
+			let sentBytes = 0;
+			const {send} = await createFixture(({socket}) => {
+				socket.write(start);
+				const sendMore = () => {
+					while (!socket.destroyed && sentBytes < excessiveBytes * 32) {
+						sentBytes += repeated.length;
+						if (!socket.write(repeated)) {
+							socket.once('drain', sendMore);
+							return;
+						}
+					}
+				};
+
+				sendMore();
+			});
+			expect(await send('1')).toEqual(failedAfterSend);
+		});
+	}
+});
+
+describe('the framing of a response', {timeout: 20_000}, () => {
+	const sendWithFraming = async (rest: string) => {
+		const {send} = await createFixture(({socket, header}) => {
+			socket.end(`HTTP/1.1 200 OK\r\nx-id: ${header('x-id')}\r\n${rest}`);
+		});
+		return send('1');
+	};
+
+	for (const [name, rest] of Object.entries({
+		'a chunk size that is not a number':
+			'transfer-encoding: chunked\r\n\r\n3\r\nwho\r\nzz\r\n\r\n',
+		'a negative chunk size':
+			'transfer-encoding: chunked\r\n\r\n3\r\nwho\r\n-3\r\n\r\n',
+		'a length that is not a number': 'content-length: 5x\r\n\r\nwhole',
+		'a negative length': 'content-length: -5\r\n\r\nwhole',
+		'two different lengths':
+			'content-length: 3\r\ncontent-length: 5\r\n\r\nwhole',
+		'both a length and chunked encoding':
+			'content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n3\r\nwho\r\n0\r\n\r\n',
+		'an unknown transfer encoding': 'transfer-encoding: gzip\r\n\r\nwhole',
+	})) {
+		it(`with ${name} fails the request`, async () => {
+			expect(await sendWithFraming(rest)).toEqual(failedAfterSend);
+		});
+	}
+
+	it('never makes a changed response look complete, whatever the byte', async () => {
+		const complete =
+			'HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n\r\n' +
+			'3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n';
+		const firstChunk = complete.indexOf('3\r\nwho');
+		const replacements = ['\0', '\r', '\n', ' ', '-', '1', 'f', 'g', ';'];
+		for (let index = firstChunk; index < complete.length; index++) {
+			for (const replacement of replacements) {
+				const changed =
+					complete.slice(0, index) + replacement + complete.slice(index + 1);
+				const {send} = await createFixture(({socket}) => {
+					socket.end(changed);
+				});
+				const result = await send('1');
+				const isComplete = result.kind === 'answered';
+				expect(!isComplete || result.body.length === 5).toEqual(true);
+				for (const cleanUp of cleanups.splice(0)) {
+					cleanUp();
+				}
+			}
+		}
+	});
+});
+
 describe('a request', () => {
 	it('to an unreachable server was not sent', async () => {
 		const {server, send} = await createFixture(() => undefined);
--- a/packages/entry/src/response-parser.ts
+++ b/packages/entry/src/response-parser.ts
@@ -20,6 +20,11 @@
 const firstFinalStatus = 200;
 /** Return value that makes the parser skip the body; 0: parse it. */
 const skipBody = 1;
+/**
+ * Limit on the bytes received in a row that are neither a final head nor body:
+ * interim responses, chunk sizes and extensions, trailers.
+ */
+const maximumFramingBytes = 128 * 1024;
 
 /**
  * Parses the bytes of one connection into responses. It accepts any number of
@@ -29,31 +34,35 @@
 	readonly #parser = new HTTPParser(HTTPParser.RESPONSE);
 	readonly #listener: ResponseListener;
 	#isInterim = false;
+	#isInvalid = false;
+	#framingBytes = 0;
 
 	constructor(listener: ResponseListener) {
 		this.#listener = listener;
 		this.#parser.onHeadersComplete = (info) => this.#onHead(info);
 		this.#parser.onBody = (chunk, offset, length) => {
-			this.#listener.onBody(chunk.subarray(offset, offset + length));
+			this.#onBody(chunk, offset, length);
 		};
 
 		this.#parser.onMessageComplete = () => {
-			if (!this.#isInterim) {
-				this.#listener.onEnd();
-			}
-
-			this.#isInterim = false;
+			this.#onMessageComplete();
 		};
 	}
 
 	/** Parses received bytes; returns false if they are not valid HTTP. */
 	parse(bytes: Buffer): boolean {
-		return !(this.#parser.execute(bytes) instanceof Error);
+		this.#framingBytes += bytes.length;
+		const hasFailed = this.#parser.execute(bytes) instanceof Error;
+		return (
+			!hasFailed &&
+			!this.#isInvalid &&
+			this.#framingBytes <= maximumFramingBytes
+		);
 	}
 
 	/** Handles an orderly end of the connection; returns false if it truncated a response. */
 	finish(): boolean {
-		return !(this.#parser.finish() instanceof Error);
+		return !(this.#parser.finish() instanceof Error) && !this.#isInvalid;
 	}
 
 	#onHead(info: {
@@ -66,6 +75,12 @@
 			return 0;
 		}
 
+		this.#framingBytes = 0;
+		if (this.#isInvalid || !hasValidLength(info.headers)) {
+			this.#isInvalid = true;
+			return skipBody;
+		}
+
 		const hasNoBody = this.#listener.onHead({
 			status: info.statusCode,
 			rawHeaders: [...info.headers],
@@ -73,4 +88,46 @@
 		});
 		return hasNoBody ? skipBody : 0;
 	}
+
+	#onBody(chunk: Buffer, offset: number, length: number): void {
+		if (length < 0) {
+			// The parser accepts a negative chunk size.
+			this.#isInvalid = true;
+		} else if (!this.#isInvalid) {
+			this.#framingBytes = 0;
+			this.#listener.onBody(chunk.subarray(offset, offset + length));
+		}
+	}
+
+	#onMessageComplete(): void {
+		// The parser takes a chunk size that is not a number for the last chunk.
+		const remainingBytes: unknown = Reflect.get(this.#parser, 'body_bytes');
+		this.#isInvalid ||= Number.isNaN(remainingBytes);
+		if (!this.#isInterim && !this.#isInvalid) {
+			this.#listener.onEnd();
+		}
+
+		this.#isInterim = false;
+	}
+}
+
+/** Whether the headers define the length of the body unambiguously. */
+function hasValidLength(rawHeaders: readonly string[]): boolean {
+	const lengths: string[] = [];
+	const encodings: string[] = [];
+	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index]!.toLowerCase();
+		const value = rawHeaders[index + 1]!;
+		if (name === 'content-length') {
+			lengths.push(value);
+		} else if (name === 'transfer-encoding') {
+			encodings.push(value.toLowerCase());
+		}
+	}
+
+	return encodings.length === 0
+		? lengths.every((length) => /^\d{1,15}$/.test(length))
+		: lengths.length === 0 &&
+				encodings.length === 1 &&
+				encodings[0] === 'chunked';
 }
