Handle digests and ticks without passing over the whole fleet

Cause: each digest listed all live hosts to see whether its sender was known, each tick listed them for silent hosts, newer hosts and the election of readers (with a hash of each name), and each configuration refilled the bucket of every customer from lists of all hosts.

Ruled out: the choice of servers and the caches of objects; together below a tenth of the time.

Lists by liveness may be one tick old.

--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -174,8 +174,8 @@
 		now: Milliseconds,
 	): void {
 		for (const customer of customers) {
-			if (customer.ratePerSecond > 0) {
-				this.#refill(customer, now);
+			if (customer.ratePerSecond > 0 && !this.#buckets.has(customer.name)) {
+				this.#buckets.set(customer.name, this.#createBucket(customer, now));
 			}
 		}
 	}
@@ -192,7 +192,7 @@
 
 	#refill(customer: SteeringCustomer, now: Milliseconds): Bucket {
 		const {name, ratePerSecond, burst} = customer;
-		const bucket = this.#getBucket(customer, now);
+		const bucket = this.#buckets.get(name) ?? this.#createBucket(customer, now);
 		decayDemand(bucket, now);
 		const {share, liveFraction} = this.#computeShare(bucket, now);
 		const refill = (ratePerSecond * (now - bucket.refilledAt)) / second;
@@ -210,20 +210,18 @@
 		return bucket;
 	}
 
-	#getBucket(customer: SteeringCustomer, now: Milliseconds): Bucket {
-		return (
-			this.#buckets.get(customer.name) ?? {
-				customer,
-				tokens: this.#computeInitialTokens(customer),
-				shareTokens: 0,
-				refilledAt: now,
-				demand: 0,
-				demandAt: now,
-				admitted: 0,
-				reported: 0,
-				remoteCounts: new Map(),
-			}
-		);
+	#createBucket(customer: SteeringCustomer, now: Milliseconds): Bucket {
+		return {
+			customer,
+			tokens: this.#computeInitialTokens(customer),
+			shareTokens: 0,
+			refilledAt: now,
+			demand: 0,
+			demandAt: now,
+			admitted: 0,
+			reported: 0,
+			remoteCounts: new Map(),
+		};
 	}
 
 	/**
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -23,6 +23,8 @@
 	readonly #readers: StoreReaders;
 	#lastFetchAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	#hasAnnouncedReading = false;
+	/** Whether a host with newer data has been heard from since the last check. */
+	#mayBeBehind = false;
 
 	constructor(settings: SteeringSettings) {
 		super();
@@ -69,8 +71,10 @@
 		});
 		kernel.on('tick', (_event, context) => {
 			const {serverTable, members} = this.#hostState;
-			for (const name of members.listSilent(context.now)) {
-				serverTable.applyRemoteLoad(name, {});
+			for (const name of serverTable.listHostsWithLoad()) {
+				if (!members.isLive(name, context.now)) {
+					serverTable.applyRemoteLoad(name, {});
+				}
 			}
 
 			const removed = serverTable.removeMissing(context.now);
@@ -147,9 +151,7 @@
 
 	#onDigest(digest: Digest, context: SteeringContext): void {
 		const {members, configuration, serverTable} = this.#hostState;
-		const wasLive = members
-			.listLive(context.now)
-			.some(({host}) => host.incarnation === digest.incarnation);
+		const wasLive = members.isLiveIncarnation(digest, context.now);
 		if (!members.onDigest(digest, context.now)) {
 			return;
 		}
@@ -161,6 +163,7 @@
 			});
 		}
 
+		this.#mayBeBehind ||= this.#isNewer(digest);
 		if (digest.storeRegainedAgoMs !== null) {
 			this.#hostState.storeOutage.onReported(
 				digest.storeRegainedAgoMs,
@@ -212,10 +215,24 @@
 		}
 	}
 
+	/** Whether the other host has newer data from the store. */
+	#isNewer(digest: Digest): boolean {
+		const {configuration, serverTable} = this.#hostState;
+		return (
+			digest.configurationVersion > configuration.version ||
+			digest.fleetRevision > serverTable.revision ||
+			digest.evacuationsRevision > serverTable.evacuationsRevision
+		);
+	}
+
 	/** Fetches newer configuration or server lists from a host that has them. */
 	#fetchWhenBehind(context: SteeringContext): void {
 		const {now} = context;
-		const {members, configuration, serverTable, settings} = this.#hostState;
+		if (!this.#mayBeBehind) {
+			return;
+		}
+
+		const {members, settings} = this.#hostState;
 		const isNeeded = this.#hostState.isActive(now) || !this.#hostState.isReady;
 		const interval = isNeeded ? fetchInterval : idleFetchInterval;
 		if (now - this.#lastFetchAt < interval) {
@@ -224,13 +241,7 @@
 
 		const newer = members
 			.listLive(now)
-			.filter(
-				({digest}) =>
-					digest !== undefined &&
-					(digest.configurationVersion > configuration.version ||
-						digest.fleetRevision > serverTable.revision ||
-						digest.evacuationsRevision > serverTable.evacuationsRevision),
-			);
+			.filter(({digest}) => digest !== undefined && this.#isNewer(digest));
 		// Prefers nearby sources, to save traffic on links; chooses at random, as any source may have failed.
 		const {region, failureDomain} = settings.self;
 		const inDomain = newer.filter(
@@ -241,6 +252,7 @@
 			(found) => found.length > 0,
 		);
 		if (sources === undefined) {
+			this.#mayBeBehind = false;
 			return;
 		}
 
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -17,19 +17,32 @@
 /** Fraction of the busiest host's request rate below which a host counts as idle; above 0, as health probes reach every host. */
 const activeFraction = 0.05;
 
-/** Another host and its last digest. */
-export type Member = {
-	readonly host: SteeringHost;
-	readonly digest: Digest | undefined;
+/** How long lists by liveness are reused: one tick. */
+const livenessListLifetime: Milliseconds = 50;
+
+type MutableMember = {
+	host: SteeringHost;
+	digest: Digest | undefined;
 	/** Undefined: known only from the store, or not heard from since this process was suspended. */
-	readonly lastHeardAt: Milliseconds | undefined;
+	lastHeardAt: Milliseconds | undefined;
 	readonly listedAt: Milliseconds;
 };
 
+/** Another host and its last digest. */
+export type Member = Readonly<MutableMember>;
+
+type LivenessLists = {
+	readonly at: Milliseconds;
+	readonly live: readonly Member[];
+	readonly shareHolders: readonly Member[];
+};
+
 /** The other hosts of the fleet. */
 export class Members {
 	readonly #self: string;
-	readonly #members = new Map<string, Member>();
+	readonly #members = new Map<string, MutableMember>();
+	#knownMembers: readonly Member[] | undefined;
+	#livenessLists: LivenessLists | undefined;
 
 	constructor(self: string) {
 		this.#self = self;
@@ -51,6 +64,7 @@
 					lastHeardAt: undefined,
 					listedAt: now,
 				});
+				this.#clearLists();
 			}
 		}
 
@@ -60,6 +74,7 @@
 				!wasHeardWithin(member, now, shareReleaseTimeout)
 			) {
 				this.#members.delete(name);
+				this.#clearLists();
 			}
 		}
 	}
@@ -70,23 +85,36 @@
 		const isSameIncarnation =
 			existing?.digest?.incarnation === digest.incarnation;
 		const isStale =
-			isSameIncarnation && existing.digest.sequence >= digest.sequence;
+			isSameIncarnation &&
+			(existing?.digest?.sequence ?? -1) >= digest.sequence;
 		if (isStale || digest.name === this.#self) {
 			return false;
 		}
 
-		this.#members.set(digest.name, {
+		const wasLive = this.isLive(digest.name, now);
+		const member: MutableMember = existing ?? {
 			host: createHost(digest),
+			digest: undefined,
+			lastHeardAt: undefined,
+			listedAt: now,
+		};
+		if (!isSameIncarnation) {
+			member.host = createHost(digest);
+		}
+
+		member.digest = {
+			...digest,
 			// A short digest omits the customers of the last full one.
-			digest: {
-				...digest,
-				customers:
-					digest.customers ??
-					(isSameIncarnation ? existing.digest.customers : undefined),
-			},
-			lastHeardAt: now,
-			listedAt: existing?.listedAt ?? now,
-		});
+			customers:
+				digest.customers ??
+				(isSameIncarnation ? existing?.digest?.customers : undefined),
+		};
+		member.lastHeardAt = now;
+		this.#members.set(digest.name, member);
+		if (!wasLive) {
+			this.#clearLists();
+		}
+
 		return true;
 	}
 
@@ -98,22 +126,40 @@
 
 	/** After a suspension of this process, no other host counts as live until it is heard from again. */
 	onSuspended(): void {
-		for (const [name, member] of this.#members) {
-			this.#members.set(name, {...member, lastHeardAt: undefined});
+		for (const member of this.#members.values()) {
+			member.lastHeardAt = undefined;
 		}
+
+		this.#clearLists();
 	}
 
 	/** All hosts that may be running, as receivers of digests. */
 	listKnown(): readonly Member[] {
-		return [...this.#members.values()];
+		this.#knownMembers ??= [...this.#members.values()];
+		return this.#knownMembers;
+	}
+
+	/** Whether the host was heard from within the liveness timeout. */
+	isLive(name: string, now: Milliseconds): boolean {
+		const member = this.#members.get(name);
+		return (
+			member !== undefined &&
+			wasHeardWithin(member, now, this.#computeLivenessTimeout())
+		);
+	}
+
+	/** Whether the host is live and this incarnation of it was heard from last. */
+	isLiveIncarnation(
+		{name, incarnation}: Pick<Digest, 'name' | 'incarnation'>,
+		now: Milliseconds,
+	): boolean {
+		const {digest} = this.#members.get(name) ?? {};
+		return digest?.incarnation === incarnation && this.isLive(name, now);
 	}
 
 	/** Hosts heard from within the liveness timeout. */
 	listLive(now: Milliseconds): readonly Member[] {
-		const timeout = this.#computeLivenessTimeout();
-		return this.listKnown().filter((member) =>
-			wasHeardWithin(member, now, timeout),
-		);
+		return this.#getLivenessLists(now).live;
 	}
 
 	/**
@@ -138,22 +184,9 @@
 		});
 	}
 
-	/** Names of hosts that are not live. */
-	listSilent(now: Milliseconds): readonly string[] {
-		const timeout = this.#computeLivenessTimeout();
-		return this.listKnown()
-			.filter((member) => !wasHeardWithin(member, now, timeout))
-			.map(({host}) => host.name);
-	}
-
 	/** Hosts that may still use a share of the rates. */
 	listShareHolders(now: Milliseconds): readonly Member[] {
-		return this.listKnown().filter(
-			(member) =>
-				wasHeardWithin(member, now, shareReleaseTimeout) ||
-				(member.lastHeardAt === undefined &&
-					now - member.listedAt < shareReleaseTimeout),
-		);
+		return this.#getLivenessLists(now).shareHolders;
 	}
 
 	/** Names of hosts whose entries in the store may be removed. */
@@ -167,6 +200,33 @@
 			.map(({host}) => host.name);
 	}
 
+	#getLivenessLists(now: Milliseconds): LivenessLists {
+		const lists = this.#livenessLists;
+		if (lists !== undefined && now - lists.at < livenessListLifetime) {
+			return lists;
+		}
+
+		const timeout = this.#computeLivenessTimeout();
+		const known = this.listKnown();
+		this.#livenessLists = {
+			at: now,
+			live: known.filter((member) => wasHeardWithin(member, now, timeout)),
+			shareHolders: known.filter(
+				(member) =>
+					wasHeardWithin(member, now, shareReleaseTimeout) ||
+					(member.lastHeardAt === undefined &&
+						now - member.listedAt < shareReleaseTimeout),
+			),
+		};
+		return this.#livenessLists;
+	}
+
+	/** Discards the cached lists when hosts join, leave or become live. */
+	#clearLists(): void {
+		this.#knownMembers = undefined;
+		this.#livenessLists = undefined;
+	}
+
 	#computeLivenessTimeout(): Milliseconds {
 		return Math.max(
 			livenessTimeout,
--- a/packages/steering/src/readers.ts
+++ b/packages/steering/src/readers.ts
@@ -6,6 +6,8 @@
 const readerCount = 5;
 /** A host reads from the store itself if its configuration has not been confirmed for this long. */
 const maximumConfirmationAge: Milliseconds = 3000;
+/** How long the result of an election is reused; hosts are heard from less often. */
+const electionInterval: Milliseconds = 200;
 
 /**
  * Decides whether this host reads from the store. So that the store's load does
@@ -14,6 +16,8 @@
  */
 export class StoreReaders {
 	readonly #hostState: HostState;
+	readonly #ranks = new Map<string, number>();
+	#election = {at: Number.NEGATIVE_INFINITY, isElected: true};
 
 	constructor(hostState: HostState) {
 		this.#hostState = hostState;
@@ -31,15 +35,26 @@
 
 	/** Whether this host is among the readers chosen by hash, ignoring hosts that cannot reach the store. */
 	#isElected(now: Milliseconds): boolean {
+		const {at, isElected} = this.#election;
+		if (now - at < electionInterval) {
+			return isElected;
+		}
+
 		const {members, settings} = this.#hostState;
-		const ownHash = computeHash(`reader/${settings.self.name}`);
-		const higherRanked = members
-			.listLive(now)
-			.filter(
-				({host, digest}) =>
-					digest?.isStoreLost === false &&
-					computeHash(`reader/${host.name}`) > ownHash,
-			);
-		return higherRanked.length < readerCount;
+		const ownRank = this.#getRank(settings.self.name);
+		let higherRanked = 0;
+		for (const {host, digest} of members.listLive(now)) {
+			const isHigher = this.#getRank(host.name) > ownRank;
+			higherRanked += isHigher && digest?.isStoreLost === false ? 1 : 0;
+		}
+
+		this.#election = {at: now, isElected: higherRanked < readerCount};
+		return this.#election.isElected;
+	}
+
+	#getRank(hostName: string): number {
+		const rank = this.#ranks.get(hostName) ?? computeHash(`reader/${hostName}`);
+		this.#ranks.set(hostName, rank);
+		return rank;
 	}
 }
--- a/packages/steering/src/server-table.ts
+++ b/packages/steering/src/server-table.ts
@@ -31,6 +31,8 @@
 	readonly #cacheEstimators = new Map<string, CacheSizeEstimator>();
 	readonly #states = new Map<string, ServerState>();
 	readonly #pools = new Map<string, ServicePool>();
+	/** Servers that are missing in the list and not removed yet. */
+	readonly #missing = new Set<string>();
 	/** Requests in flight at each server, by the other host that sent them. */
 	readonly #inFlightByHost = new Map<
 		string,
@@ -80,6 +82,10 @@
 
 	/** Removes servers whose entries have not reappeared in time. */
 	removeMissing(now: Milliseconds): ServerChange[] {
+		if (this.#missing.size === 0) {
+			return [];
+		}
+
 		const changes = this.#removeMissing(now);
 		if (changes.length > 0) {
 			this.#rebuildPools();
@@ -103,7 +109,16 @@
 			this.#addRemoteLoad(id, count);
 		}
 
-		this.#inFlightByHost.set(hostName, inFlight);
+		if (Object.keys(inFlight).length === 0) {
+			this.#inFlightByHost.delete(hostName);
+		} else {
+			this.#inFlightByHost.set(hostName, inFlight);
+		}
+	}
+
+	/** Names of the other hosts that have requests in flight, by their last reports. */
+	listHostsWithLoad(): readonly string[] {
+		return [...this.#inFlightByHost.keys()];
 	}
 
 	/** Returns the estimator of how many objects servers of the service cache. */
@@ -149,20 +164,28 @@
 		removeMissingAt: Milliseconds,
 	): void {
 		const present = new Set(servers.map(({id}) => id));
+		this.#missing.clear();
 		for (const [id, state] of this.#states) {
-			state.removeMissingAt = present.has(id)
+			const isPresent = present.has(id);
+			state.removeMissingAt = isPresent
 				? undefined
 				: (state.removeMissingAt ?? removeMissingAt);
+			if (!isPresent) {
+				this.#missing.add(id);
+			}
 		}
 	}
 
 	#removeMissing(now: Milliseconds): ServerChange[] {
 		const changes: ServerChange[] = [];
-		for (const [id, {server, removeMissingAt}] of this.#states) {
+		for (const id of this.#missing) {
+			const state = this.#states.get(id);
+			const removeMissingAt = state?.removeMissingAt;
 			if (removeMissingAt !== undefined && removeMissingAt <= now) {
-				this.#states.get(id)?.onLeft();
+				state!.onLeft();
 				this.#states.delete(id);
-				changes.push({server, kind: 'left'});
+				this.#missing.delete(id);
+				changes.push({server: state!.server, kind: 'left'});
 			}
 		}
 
