--- a/packages/soak/src/store-stand-in.ts
+++ b/packages/soak/src/store-stand-in.ts
@@ -33,6 +33,8 @@
 	mode: StoreMode = 'serves';
 	/** Received calls, as method and path without the query string. */
 	readonly calls: string[] = [];
+	/** Called after each response to a read. */
+	onRead: (() => void) | undefined;
 	/** Maximum number of objects in a list response. */
 	pageSize = 500;
 	readonly #server: Server;
@@ -142,6 +144,7 @@
 
 		if (request.method === 'GET') {
 			this.#read(kind, url.searchParams, response);
+			this.onRead?.();
 			return;
 		}
 
