Pass on removed servers instead of the ids of all, with a checksum of the list

Cause: each copy that a host fetched named all servers by id, 6 KB at 453 servers, for each change of one, by each of 195 hosts. The new random test also found that hosts could miss a server for good: one that left and returned unchanged between two lists keeps its earlier revision, is not sent as changed, and was dropped silently by a host that had seen it leave. Entries that lapse in an outage of the store and come back are such servers.

Ruled out: revisions of single objects in the events; they would need another event format and leave other differences undetected.

After: 328 bytes at both; 300 random sequences bring all hosts to one list; 97 tests of entry and platform pass.

A host whose merged list has another checksum fetches the whole list.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -225,9 +225,12 @@
 		this.handle({type: 'tick'});
 	}
 
-	async #fetchDelta(peer: Endpoint): Promise<void> {
+	async #fetchDelta(
+		peer: Endpoint,
+		revision = this.#storeView.revision,
+	): Promise<void> {
 		const requestedAt = this.#clock.now();
-		const {version, revision} = this.#storeView;
+		const {version} = this.#storeView;
 		const delta = await this.#peerTransport.fetchDelta(peer, version, revision);
 		if (delta === undefined) {
 			return;
@@ -250,15 +253,26 @@
 		const isNewer =
 			delta.revision > this.#storeView.revision ||
 			delta.evacuationsRevision > this.#storeView.evacuationsRevision;
-		if (isNewer) {
+		if (!isNewer) {
+			return;
+		}
+
+		const servers = this.#storeView.merge(delta);
+		if (servers !== undefined) {
 			const {revision: newRevision, evacuationsRevision, evacuated} = delta;
 			this.handle({
 				type: 'fleet-listed',
 				revision: newRevision,
-				servers: this.#storeView.merge(delta),
+				servers,
 				evacuationsRevision,
 				evacuated,
 			});
+		} else if (revision >= 0) {
+			this.#options.log.log('belief', 'list of servers differs from peer', {
+				revision,
+				peerRevision: delta.revision,
+			});
+			await this.#fetchDelta(peer, -1);
 		}
 	}
 
--- a/packages/entry/src/store-view.ts
+++ b/packages/entry/src/store-view.ts
@@ -1,6 +1,7 @@
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
 import {
 	backendServerSchema,
+	computeHash,
 	steeringConfigurationSchema,
 	type BackendServer,
 	type SteeringConfiguration,
@@ -20,15 +21,27 @@
 	revision: z.int(),
 	/** Servers that changed after the requesting host's revision. */
 	changed: z.array(backendServerSchema),
-	/** Ids of all servers; servers not listed were removed. */
-	present: z.array(z.string()),
+	/** Whether `changed` contains all servers, rather than those to merge into the known ones. */
+	isWhole: z.boolean(),
+	/** Ids of servers that were removed after the requesting host's revision. */
+	removed: z.array(z.string()),
+	/** Checksum of all servers, with which the merged list must agree. */
+	checksum: z.int(),
 	evacuationsRevision: z.int(),
 	evacuated: z.array(z.string()),
 });
 
 export type StoreDelta = z.infer<typeof storeDeltaSchema>;
 
-type ServerEntry = {readonly server: BackendServer; readonly revision: number};
+type ServerEntry = {
+	readonly server: BackendServer;
+	readonly hash: number;
+	/** Revision of the list in which this host first saw the entry. */
+	readonly revision: number;
+};
+
+/** Removed servers that are remembered; a host that is further behind gets the whole list. */
+const maximumRemovals = 1000;
 
 /** The state of the store as last seen by this host, to be passed on to other hosts. */
 export class StoreView {
@@ -37,6 +50,10 @@
 	#confirmedAt: Milliseconds | undefined;
 	#revision = -1;
 	#servers = new Map<string, ServerEntry>();
+	/** Ids of removed servers with the revisions of the lists without them, oldest first. */
+	readonly #removals = new Map<string, number>();
+	/** Revision from which on all removals are remembered. */
+	#removalsKnownSince = Number.POSITIVE_INFINITY;
 	#evacuationsRevision = -1;
 	#evacuated: readonly string[] = [];
 
@@ -106,6 +123,7 @@
 		}
 
 		const entries = [...this.#servers.values()];
+		const isWhole = knownRevision < this.#removalsKnownSince;
 		return {
 			version: this.version,
 			configuration:
@@ -113,20 +131,44 @@
 			configurationAgeMs: this.configurationAge ?? null,
 			revision: this.#revision,
 			changed: entries
-				.filter((entry) => entry.revision > knownRevision)
+				.filter((entry) => isWhole || entry.revision > knownRevision)
 				.map(({server}) => server),
-			present: [...this.#servers.keys()],
+			isWhole,
+			removed: isWhole
+				? []
+				: [...this.#removals.keys()].filter(
+						(id) => this.#removals.get(id)! > knownRevision,
+					),
+			checksum: computeChecksum(entries),
 			evacuationsRevision: this.#evacuationsRevision,
 			evacuated: [...this.#evacuated],
 		};
 	}
 
-	/** Combines a delta with the servers known here into the complete list. */
-	merge({changed, present}: StoreDelta): BackendServer[] {
-		const servers = new Map(changed.map((server) => [server.id, server]));
-		return present.flatMap(
-			(id) => servers.get(id) ?? this.#servers.get(id)?.server ?? [],
-		);
+	/**
+	 * Combines a delta with the servers known here into the complete list. Returns
+	 * undefined if the result is not the other host's list, as when a server left
+	 * and returned unchanged between two lists; the whole list is needed then.
+	 */
+	merge({
+		changed,
+		isWhole,
+		removed,
+		checksum,
+	}: StoreDelta): BackendServer[] | undefined {
+		const servers = new Map<string, ServerEntry>(isWhole ? [] : this.#servers);
+		for (const id of removed) {
+			servers.delete(id);
+		}
+
+		for (const server of changed) {
+			servers.set(server.id, createEntry(server, this.#revision));
+		}
+
+		const entries = [...servers.values()];
+		return computeChecksum(entries) === checksum
+			? entries.map(({server}) => server)
+			: undefined;
 	}
 
 	#applyConfiguration({
@@ -174,13 +216,57 @@
 				const previous = previousServers.get(server.id);
 				const isSame =
 					previous !== undefined && isSameServer(previous.server, server);
-				return [server.id, isSame ? previous : {server, revision}] as const;
+				const entry = isSame ? previous : createEntry(server, revision);
+				return [server.id, entry] as const;
 			}),
 		);
+		this.#recordRemovals(previousServers.keys(), revision);
 		this.#revision = revision;
 	}
+
+	#recordRemovals(previousIds: Iterable<string>, revision: number): void {
+		this.#removalsKnownSince = Math.min(this.#removalsKnownSince, revision);
+		for (const id of previousIds) {
+			if (!this.#servers.has(id)) {
+				this.#removals.delete(id);
+				this.#removals.set(id, revision);
+			}
+		}
+
+		for (const [id, removedAt] of this.#removals) {
+			if (this.#servers.has(id)) {
+				this.#removals.delete(id);
+			} else if (this.#removals.size > maximumRemovals) {
+				this.#removals.delete(id);
+				this.#removalsKnownSince = Math.max(
+					this.#removalsKnownSince,
+					removedAt,
+				);
+			}
+		}
+	}
+}
+
+function createEntry(server: BackendServer, revision: number): ServerEntry {
+	return {server, hash: computeHash(formatServer(server)), revision};
+}
+
+/** Formats all fields in an order that is the same on all hosts. */
+function formatServer(server: BackendServer): string {
+	return JSON.stringify(server, Object.keys(server).sort());
+}
+
+/** Computes a checksum that does not depend on the order of the entries. */
+function computeChecksum(entries: readonly ServerEntry[]): number {
+	let checksum = 0;
+	for (const {hash} of entries) {
+		// eslint-disable-next-line no-bitwise -- Exclusive or is independent of the order.
+		checksum ^= hash;
+	}
+
+	return checksum;
 }
 
 function isSameServer(a: BackendServer, b: BackendServer): boolean {
-	return JSON.stringify(a) === JSON.stringify(b);
+	return formatServer(a) === formatServer(b);
 }
