Fetch from another host soon if the first one does not answer

A source that was cut off just before still counts as live; a fetch from it ends after 1 s, the next one could go to the same host.

Ruled out: the pace of copies alone (700 + 250 ms leave a second).

--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -1,35 +1,30 @@
 import {Plugin} from '@parsleyvale/kernel';
 import type {Milliseconds} from '@parsleyvale/shared';
+import {CopyFetcher} from './copy-fetcher.js';
 import {HostState, hostStateKey} from './host-state.js';
 import type {Digest} from './digest.js';
 import type {SteeringEffect} from './effect.js';
 import type {SteeringEvent, SteeringEventOf} from './event.js';
 import type {ServerChange} from './server-table.js';
-import type {Member} from './members.js';
 import {StoreReaders} from './readers.js';
 import type {SteeringSettings} from './settings.js';
 import type {SteeringContext, SteeringKernel} from './types.js';
 
 /** Upper bound of the time that a digest is in transit: twice the longest network delay with jitter. */
 const maximumDigestDelay: Milliseconds = 150;
-/** Minimum interval between two fetches from other hosts; a fetch takes two round trips. */
-const fetchInterval: Milliseconds = 150;
-/** Fetch interval of an idle host: short enough to see a server leave within two seconds. */
-const idleFetchInterval: Milliseconds = 700;
 
 /** Maintains this host's state from the store and from other hosts. */
 export class HostStatePlugin extends Plugin<SteeringEvent, SteeringEffect> {
 	readonly #hostState: HostState;
 	readonly #readers: StoreReaders;
-	#lastFetchAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	readonly #copyFetcher: CopyFetcher;
 	#hasAnnouncedReading = false;
-	/** Whether a host with newer data has been heard from since the last check. */
-	#mayBeBehind = false;
 
 	constructor(settings: SteeringSettings) {
 		super();
 		this.#hostState = new HostState(settings);
 		this.#readers = new StoreReaders(this.#hostState);
+		this.#copyFetcher = new CopyFetcher(this.#hostState);
 	}
 
 	get name(): string {
@@ -163,7 +158,7 @@
 			});
 		}
 
-		this.#mayBeBehind ||= this.#isNewer(digest);
+		this.#copyFetcher.onDigest(digest);
 		if (digest.storeRegainedAgoMs !== null) {
 			this.#hostState.storeOutage.onReported(
 				digest.storeRegainedAgoMs,
@@ -215,63 +210,15 @@
 		}
 	}
 
-	/** Whether the other host has newer data from the store. */
-	#isNewer(digest: Digest): boolean {
-		const {configuration, serverTable} = this.#hostState;
-		return (
-			digest.configurationVersion > configuration.version ||
-			digest.fleetRevision > serverTable.revision ||
-			digest.evacuationsRevision > serverTable.evacuationsRevision
-		);
-	}
-
-	/** Fetches newer configuration or server lists from a host that has them. */
 	#fetchWhenBehind(context: SteeringContext): void {
-		const {now} = context;
-		if (!this.#mayBeBehind) {
-			return;
-		}
-
-		const {members, settings} = this.#hostState;
-		const isNeeded = this.#hostState.isActive(now) || !this.#hostState.isReady;
-		const interval = isNeeded ? fetchInterval : idleFetchInterval;
-		if (now - this.#lastFetchAt < interval) {
-			return;
-		}
-
-		const newer = members
-			.listLive(now)
-			.filter(({digest}) => digest !== undefined && this.#isNewer(digest));
-		// Prefers nearby sources, to save traffic on links; chooses at random, as any source may have failed.
-		const {region, failureDomain} = settings.self;
-		const inDomain = newer.filter(
-			({host}) => host.failureDomain === failureDomain,
-		);
-		const inRegion = newer.filter(({host}) => host.region === region);
-		const sources = [inDomain, inRegion, newer].find(
-			(found) => found.length > 0,
-		);
-		if (sources === undefined) {
-			this.#mayBeBehind = false;
-			return;
+		const source = this.#copyFetcher.chooseSource(context.now);
+		if (source !== undefined) {
+			const {name, peerAddress: address, peerPort: port} = source.host;
+			context.emit({type: 'fetch-copy', name, address, port});
 		}
-
-		const source = sources[Math.floor(settings.random() * sources.length)]!;
-
-		this.#lastFetchAt = now;
-		fetchFrom(source, context);
 	}
 }
 
-function fetchFrom({host}: Member, context: SteeringContext): void {
-	context.emit({
-		type: 'fetch-copy',
-		name: host.name,
-		address: host.peerAddress,
-		port: host.peerPort,
-	});
-}
-
 function log(
 	context: SteeringContext,
 	message: string,
