Keep the process running after a malformed target or an error in a handler

Cause: the handlers of look-ups, of copies for other hosts and of the administration API built a URL from the target of the request outside of any error handling. `GET //` threw there and ended the process (in the administration server as an unhandled rejection). An error in a plug-in's handler ended it as well.

Ruled out: the callers' endpoint and readiness; they split the target by hand.

Errors are logged as failures with their stack.

--- a/packages/daemon/src/administration-server.ts
+++ b/packages/daemon/src/administration-server.ts
@@ -10,6 +10,7 @@
 	ErrorKind,
 	configurationSchema,
 	getErrorResponse,
+	parseRequestTarget,
 	toProblems,
 	type Endpoint,
 	type Problem,
@@ -70,7 +71,12 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		const url = new URL(request.url ?? '/', 'http://administration');
+		const url = parseRequestTarget(request.url);
+		if (url === undefined) {
+			sendError(response, ErrorKind.MalformedRequest);
+			return;
+		}
+
 		const context: RequestContext = {request, response, url};
 		try {
 			await (this.#isPublicPath(url)
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -187,7 +187,15 @@
 	}
 
 	#createKernel(self: EntryHost): void {
-		this.#kernel = createKernel({self, random: Math.random})
+		const onError = (error: unknown, type: string) => {
+			this.#log.error('internal error', {type, error});
+		};
+
+		this.#kernel = createKernel({
+			self,
+			random: Math.random,
+			onHandlerError: onError,
+		})
 			.use(this.#configuration)
 			.use(
 				createMembership({lookUpLifetimeMs: this.#settings.lookUpLifetimeMs}),
@@ -202,7 +210,7 @@
 		this.#kernel.on('members-changed', () => {
 			this.#updatePeers();
 		});
-		this.#driver = new KernelDriver(this.#kernel, this.#clock);
+		this.#driver = new KernelDriver(this.#kernel, this.#clock, onError);
 		this.#storeAdapter = new StoreAdapter(this.#platformClient, this.#driver);
 		this.#registerEffectHandlers();
 	}
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -79,8 +79,12 @@
 		this.#clock = options.clock ?? createSystemClock();
 		this.#storeView = new StoreView(this.#clock);
 		this.#suspensionDetector = new SuspensionDetector(this.#clock);
-		this.#kernel = createSteering(options.steering);
-		this.#driver = new KernelDriver(this.#kernel, this.#clock);
+		const onError = (error: unknown, type: string) => {
+			this.#logInternalError(error, type);
+		};
+
+		this.#kernel = createSteering(options.steering, onError);
+		this.#driver = new KernelDriver(this.#kernel, this.#clock, onError);
 		this.#connections = new ServerConnections(
 			this.#clock,
 			options.headerNames.requestId,
@@ -205,6 +209,14 @@
 		this.#connections.close();
 	}
 
+	/** Logs a fault of this program that concerned one event or effect; the process goes on. */
+	#logInternalError(error: unknown, type: string): void {
+		this.#options.log.log('failure', 'internal error', {
+			type,
+			reason: error instanceof Error ? error.stack : String(error),
+		});
+	}
+
 	#scheduleTick(): void {
 		const interval =
 			this.#callerServer.openRequestCount > 0 ? tickInterval : idleTickInterval;
--- a/packages/entry/src/peer-transport.ts
+++ b/packages/entry/src/peer-transport.ts
@@ -1,7 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
 import {createServer, request, type Server} from 'node:http';
-import type {Endpoint, Milliseconds} from '@parsleyvale/shared';
+import {
+	parseRequestTarget,
+	type Endpoint,
+	type Milliseconds,
+} from '@parsleyvale/shared';
 import type {Digest, SteeringHost} from '@parsleyvale/steering';
 import type {DigestCodec} from './digest-codec.js';
 import {storeDeltaSchema, type StoreDelta} from './store-view.js';
@@ -40,9 +44,14 @@
 			options.onError('peer socket error', error.message);
 		});
 		this.#server = createServer((incomingRequest, response) => {
-			const {searchParams} = new URL(incomingRequest.url ?? '/', 'http://peer');
-			const version = Number(searchParams.get('version') ?? -1);
-			const revision = Number(searchParams.get('revision') ?? -1);
+			const url = parseRequestTarget(incomingRequest.url);
+			if (url?.pathname !== deltaPath) {
+				response.writeHead(404).end();
+				return;
+			}
+
+			const version = Number(url.searchParams.get('version') ?? -1);
+			const revision = Number(url.searchParams.get('revision') ?? -1);
 			const delta = options.getDelta(version, revision);
 			response.statusCode = delta === undefined ? 503 : 200;
 			response.setHeader('content-type', 'application/json');
--- a/packages/kernel/__tests__/kernel.test.ts
+++ b/packages/kernel/__tests__/kernel.test.ts
@@ -56,6 +56,40 @@
 		);
 	});
 
+	it('runs the other handlers of an event after one has thrown, and keeps the effects', () => {
+		const errors: string[] = [];
+		const kernel = createKernel({
+			self,
+			random: () => 0,
+			onHandlerError(error, eventType) {
+				errors.push(`${eventType}: ${String(error)}`);
+			},
+		});
+		kernel.on('tick', (_event, context) => {
+			context.emit({type: 'watch-object', name: 'before'});
+			throw new Error('broken');
+		});
+		kernel.on('tick', (_event, context) => {
+			context.emit({type: 'watch-object', name: 'after'});
+		});
+		for (const now of [1, 2]) {
+			expect(kernel.handle({type: 'tick'}, now)).toEqual([
+				{type: 'watch-object', name: 'before'},
+				{type: 'watch-object', name: 'after'},
+			]);
+		}
+
+		expect(errors).toEqual(['tick: Error: broken', 'tick: Error: broken']);
+	});
+
+	it('throws the error of a handler if no function to report it is given', () => {
+		const kernel = createTestKernel();
+		kernel.on('tick', () => {
+			throw new Error('broken');
+		});
+		expect(() => kernel.handle({type: 'tick'}, 1)).toThrow('broken');
+	});
+
 	it('throws if plug-ins raise events in an endless loop', () => {
 		const kernel = createTestKernel();
 		kernel.on('tick', (event, context) => {
--- a/packages/kernel/src/kernel-driver.ts
+++ b/packages/kernel/src/kernel-driver.ts
@@ -17,11 +17,20 @@
 	readonly #clock: Clock;
 	readonly #handlers = new Map<string, (effect: EffectUnion) => void>();
 	readonly #pendingEvents: EventUnion[] = [];
+	readonly #onEffectError:
+		((error: unknown, effectType: string) => void) | undefined;
+
 	#isProcessing = false;
 
-	constructor(kernel: Kernel<EventUnion, EffectUnion>, clock: Clock) {
+	/** `onEffectError` is called with the error that a handler of an effect has thrown. */
+	constructor(
+		kernel: Kernel<EventUnion, EffectUnion>,
+		clock: Clock,
+		onEffectError?: (error: unknown, effectType: string) => void,
+	) {
 		this.#kernel = kernel;
 		this.#clock = clock;
+		this.#onEffectError = onEffectError;
 	}
 
 	/** Registers the handler of a type of effect; each type has one handler. */
@@ -58,8 +67,20 @@
 			}
 
 			for (const effect of this.#kernel.handle(event, this.#clock.now())) {
-				this.#handlers.get(effect.type)?.(effect);
+				this.#carryOut(effect);
 			}
 		}
 	}
+
+	#carryOut(effect: EffectUnion): void {
+		try {
+			this.#handlers.get(effect.type)?.(effect);
+		} catch (error) {
+			if (this.#onEffectError === undefined) {
+				throw error;
+			}
+
+			this.#onEffectError(error, effect.type);
+		}
+	}
 }
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -11,6 +11,11 @@
 	readonly self: EntryHost;
 	/** Returns uniformly distributed numbers in [0, 1). */
 	readonly random: () => number;
+	/**
+	 * Called with the error that a handler of an event has thrown; the other
+	 * handlers still run. Undefined: `handle` throws the error.
+	 */
+	readonly onHandlerError?: (error: unknown, eventType: string) => void;
 };
 
 type Handler<EventUnion, EffectUnion> = (
@@ -38,10 +43,12 @@
 
 	readonly #services = new Map<symbol, unknown>();
 	readonly #plugins: Array<Plugin<EventUnion, EffectUnion>> = [];
+	readonly #onHandlerError: KernelOptions['onHandlerError'];
 
 	constructor(options: KernelOptions) {
 		this.self = options.self;
 		this.random = options.random;
+		this.#onHandlerError = options.onHandlerError;
 	}
 
 	/** Installs a plug-in; the plug-ins it depends on must be installed first. */
@@ -115,7 +122,15 @@
 		context: Context<EventUnion, EffectUnion>,
 	): void {
 		for (const handler of this.#handlers.get(event.type) ?? []) {
-			handler(event, context);
+			try {
+				handler(event, context);
+			} catch (error) {
+				if (this.#onHandlerError === undefined) {
+					throw error;
+				}
+
+				this.#onHandlerError(error, event.type);
+			}
 		}
 	}
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -8,6 +8,7 @@
 	type Milliseconds,
 } from './clock.js';
 export {hopByHopHeaders} from './hop-by-hop-headers.js';
+export {parseRequestTarget} from './request-target.js';
 export {ErrorKind} from './error-kind.js';
 export {
 	errorResponses,
--- a/packages/steering/src/create-steering.ts
+++ b/packages/steering/src/create-steering.ts
@@ -1,4 +1,4 @@
-import {createKernel} from '@parsleyvale/kernel';
+import {createKernel, type KernelOptions} from '@parsleyvale/kernel';
 import {HostStatePlugin} from './host-state-plugin.js';
 import {DigestPlugin} from './digest-plugin.js';
 import type {SteeringEffect} from './effect.js';
@@ -18,7 +18,10 @@
  * const kernel = createSteering(settings);
  * const effects = kernel.handle({type: 'tick'}, clock.now());
  */
-export function createSteering(settings: SteeringSettings): SteeringKernel {
+export function createSteering(
+	settings: SteeringSettings,
+	onHandlerError?: KernelOptions['onHandlerError'],
+): SteeringKernel {
 	const {self, random} = settings;
 	const [address = ''] = self.callers.split(':', 1);
 	const port = Number(self.callers.slice(address.length + 1));
@@ -33,6 +36,7 @@
 			leaving: false,
 		},
 		random,
+		onHandlerError,
 	})
 		.use(new HostStatePlugin(settings))
 		.use(new LimitsPlugin())
