Name only recently heard hosts in look-ups, and keep idle hosts to their domain

Cause 1: the time without a digest after which a host counts as gone grows with the fleet, to 11.7 s at 195 hosts, while the platform allows look-ups to name a lost host for seven seconds at most. Active hosts also told the hosts of their region that they live only every 4.9 s there. Now active hosts announce themselves to their region every two seconds, and look-ups name hosts heard from within five.

Cause 2: each idle host sent its digests to all others of its region, 13 a second to each host at 195, though look-ups name the large ones. In a failure domain of eight hosts or more they now stay within it.

Ruled out: a fixed time-out for liveness everywhere; idle hosts of other regions are heard less often, and the shares of rates count them.

--- a/packages/steering/__tests__/large-fleet.test.ts
+++ b/packages/steering/__tests__/large-fleet.test.ts
@@ -108,6 +108,114 @@
 	});
 });
 
+describe('a fleet of 200 hosts', () => {
+	const domains = ['east-a', 'east-b', 'west-a', 'west-b'];
+
+	/** Creates a host of the fleet whose other hosts have just been heard from; two of each domain are active. */
+	const createSession = () => {
+		const session = new KernelSession({
+			random: () => 0,
+			self: createHost({name: 'self'}),
+		});
+		session.start([createServer({slots: 1000})]);
+		const announce = (
+			sequence: number,
+			isSilent = (_name: string) => false,
+		) => {
+			for (const failureDomain of domains) {
+				for (let index = 0; index < 50; index++) {
+					const name = `${failureDomain}-${index}`;
+					const isActive = index < 2;
+					const digest = createDigest({
+						name,
+						incarnation: name,
+						callers: name,
+						address: name,
+						region: failureDomain.split('-')[0]!,
+						failureDomain,
+						sequence,
+						capacity: isActive ? 2 : 1,
+						requestsPerSecond: isActive ? 10 : 0,
+					});
+					if (!isSilent(name)) {
+						session.handle({type: 'digest-received', digest});
+					}
+				}
+			}
+		};
+
+		return {session, announce};
+	};
+
+	const listNotified = (session: KernelSession, duration: number) =>
+		new Set(
+			session
+				.wait(duration)
+				.flatMap((effect) => (effect.type === 'send-digest' ? effect.to : []))
+				.map(({peerAddress}) => peerAddress),
+		);
+
+	it('has idle hosts announce themselves to active hosts and their failure domain only', () => {
+		const {session, announce} = createSession();
+		for (let sequence = 1; sequence <= 5; sequence++) {
+			announce(sequence);
+			session.wait(2000);
+		}
+
+		const notified = new Set<string>();
+		for (let sequence = 6; sequence <= 12; sequence++) {
+			announce(sequence);
+			for (const address of listNotified(session, 1000)) {
+				notified.add(address);
+			}
+		}
+
+		expect(notified.has('west-a-0')).toEqual(true);
+		expect(notified.has('east-a-30')).toEqual(true);
+		expect(notified.has('east-b-30')).toEqual(false);
+		expect(notified.has('west-a-30')).toEqual(false);
+	});
+
+	it('has active hosts announce themselves to all hosts of their region every two seconds', () => {
+		const {session, announce} = createSession();
+		const sendTen = () => {
+			for (let count = 0; count < 10; count++) {
+				session.send();
+			}
+		};
+
+		for (let sequence = 1; sequence <= 10; sequence++) {
+			announce(sequence);
+			sendTen();
+			session.wait(1000);
+		}
+
+		announce(11);
+		sendTen();
+		const notified = listNotified(session, 2100);
+		expect(notified.has('east-a-30')).toEqual(true);
+		expect(notified.has('east-b-30')).toEqual(true);
+	});
+
+	it('does not direct callers to a host that has been silent for seven seconds', () => {
+		const {session, announce} = createSession();
+		announce(1);
+		for (let sequence = 2; sequence <= 8; sequence++) {
+			session.wait(1000);
+			announce(sequence, (name) => name === 'east-a-0');
+		}
+
+		const [answer] = session.takeEffects('answer-look-up', {
+			type: 'look-up-arrived',
+			lookUpId: '1',
+			region: 'east',
+			failureDomain: 'east-a',
+		});
+		expect(answer!.callers).toInclude('east-a-1');
+		expect(answer!.callers.includes('east-a-0')).toEqual(false);
+	});
+});
+
 describe('entries of silent hosts', () => {
 	const listRemovedEntries = (isActive: boolean): string[] => {
 		const session = new KernelSession();
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -20,6 +20,10 @@
 const regionHostsAtFullRate = 4;
 /** Interval at which hosts that read from the store confirm the configuration to all: a fifth of the time for which a confirmation is valid. */
 const confirmInterval: Milliseconds = 1000;
+/** Maximum interval between digests of an active host to all hosts of its region, whose look-ups name it. */
+const regionAnnouncementInterval: Milliseconds = 2000;
+/** In a failure domain with this many other hosts, idle ones announce themselves only within it. */
+const largeDomainHosts = 8;
 /** A starting host sends digests to all hosts for this long, so that all of them discover it. */
 const startAnnouncementDuration: Milliseconds = 6000;
 /** Minimum interval between digests that report changes immediately. */
@@ -42,6 +46,7 @@
 	#lastSentInRegion: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastSentToActive: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastSentToAll: Milliseconds = Number.NEGATIVE_INFINITY;
+	#lastSentToRegion: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastCountsSentAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastCleanupAt: Milliseconds = 0;
 	#wasActive = false;
@@ -85,7 +90,14 @@
 			: fleetInterval * intervalFactor;
 		if (now - this.#lastSentToAll >= interval) {
 			this.#lastSentToAll = now;
+			this.#lastSentToRegion = now;
 			this.#sendToAll(knownMembers, isActive, context);
+		} else if (
+			isActive &&
+			now - this.#lastSentToRegion >= regionAnnouncementInterval
+		) {
+			this.#lastSentToRegion = now;
+			this.#sendShort(this.#listIdle(this.#isInRegion, context), context);
 		}
 
 		if (isActive && !this.#wasActive) {
@@ -190,7 +202,7 @@
 	/**
 	 * Sends short digests to idle hosts. An idle host also sends its admissions to
 	 * the active hosts, which enforce customers' rates, and omits idle hosts of
-	 * other regions.
+	 * other regions, or of other failure domains if its own is large.
 	 */
 	#sendToAll(
 		knownMembers: readonly Member[],
@@ -198,23 +210,46 @@
 		context: SteeringContext,
 	): void {
 		const {now} = context;
-		const active = new Set(this.#listActive(now));
-		const {isReading, settings} = this.#hostState;
+		const {isReading} = this.#hostState;
 		const includesAllRegions = isActive || isReading || this.#isStarting(now);
-		const idle = knownMembers.filter(
-			(member) =>
-				!active.has(member) &&
-				(includesAllRegions || member.host.region === settings.self.region),
-		);
-		this.#sendShort(idle, context);
+		const isReceiver = includesAllRegions
+			? () => true
+			: this.#isLargeDomain(knownMembers)
+				? this.#isInDomain
+				: this.#isInRegion;
+		this.#sendShort(this.#listIdle(isReceiver, context), context);
 		if (!isActive) {
 			const customers = this.#limits.rates.summarize(now);
 			const digest = {...this.#createDigest(now), customers};
-			this.#send([...active], digest, context);
+			this.#send(this.#listActive(now), digest, context);
 			this.#limits.rates.markReported();
 		}
 	}
 
+	#listIdle(
+		isReceiver: (member: Member) => boolean,
+		{now}: SteeringContext,
+	): readonly Member[] {
+		const active = new Set(this.#listActive(now));
+		return this.#hostState.members
+			.listKnown()
+			.filter((member) => !active.has(member) && isReceiver(member));
+	}
+
+	readonly #isInRegion = ({host}: Member): boolean =>
+		host.region === this.#hostState.settings.self.region;
+
+	readonly #isInDomain = (member: Member): boolean =>
+		this.#isInRegion(member) &&
+		member.host.failureDomain === this.#hostState.settings.self.failureDomain;
+
+	#isLargeDomain(knownMembers: readonly Member[]): boolean {
+		return (
+			knownMembers.filter((member) => this.#isInDomain(member)).length >=
+			largeDomainHosts
+		);
+	}
+
 	#listActive(now: Milliseconds): readonly Member[] {
 		const {members, requestRate} = this.#hostState;
 		return members.listActive(requestRate.computePerSecond(now));
--- a/packages/steering/src/look-up-plugin.ts
+++ b/packages/steering/src/look-up-plugin.ts
@@ -53,10 +53,7 @@
 
 	#listReady({now}: SteeringContext): SteeringHost[] {
 		const {members, settings, isReady} = this.#hostState;
-		const others = members
-			.listLive(now)
-			.filter(({digest}) => digest?.isReady === true)
-			.map(({host}) => host);
+		const others = members.listNameable(now).map(({host}) => host);
 		return isReady ? [settings.self, ...others] : others;
 	}
 }
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -14,6 +14,9 @@
 /** A host's entry in the store may be removed after this time without a digest. */
 const entryRemovalTimeout: Milliseconds = 20 * second;
 
+/** Look-ups name no host that is silent for longer, in a fleet of any size, unless nothing else is known. */
+const lookUpTimeout: Milliseconds = 5 * second;
+
 /** Fraction of the busiest host's request rate below which a host counts as idle; above 0, as health probes reach every host. */
 const activeFraction = 0.05;
 
@@ -162,6 +165,17 @@
 		return this.#getLivenessLists(now).live;
 	}
 
+	/** Live hosts that callers may be directed to: those heard from recently, or all if none was. */
+	listNameable(now: Milliseconds): readonly Member[] {
+		const ready = this.listLive(now).filter(
+			({digest}) => digest?.isReady === true,
+		);
+		const recent = ready.filter((member) =>
+			wasHeardWithin(member, now, lookUpTimeout),
+		);
+		return recent.length > 0 ? recent : ready;
+	}
+
 	/**
 	 * Requests per second from which a host counts as active: a small fraction of
 	 * the busiest host's, where `ownRate` is that of this host.
