Import zod as a namespace, so that the bundle omits what is not used

Cause: `import {z}` keeps the whole of zod, with 264 KB of texts in other languages, in the daemon's bundle.

--- a/packages/configuration/src/messages.ts
+++ b/packages/configuration/src/messages.ts
@@ -1,5 +1,5 @@
 import {versionedConfigurationSchema} from '@parsleyvale/shared';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const hashSchema = z.string().regex(/^[\da-f]{64}$/);
 const versionSchema = z.int().min(0);
--- a/packages/ctl/src/administration-responses.ts
+++ b/packages/ctl/src/administration-responses.ts
@@ -1,5 +1,5 @@
 import {ErrorKind} from '@parsleyvale/shared';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const problemSchema = z.object({
 	file: z.string(),
--- a/packages/ctl/src/explain-request.ts
+++ b/packages/ctl/src/explain-request.ts
@@ -1,5 +1,5 @@
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CtlError} from './ctl-error.js';
 
 const logLineSchema = z.looseObject({
--- a/packages/entry/src/store-view.ts
+++ b/packages/entry/src/store-view.ts
@@ -8,7 +8,7 @@
 	type SteeringEvent,
 	type SteeringEventOf,
 } from '@parsleyvale/steering';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Changes of the store that one host passes on to another. */
 export const storeDeltaSchema = z.object({
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -1,5 +1,5 @@
 import {entryHostSchema} from '@parsleyvale/shared';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** @internal */
 export const topics = {
--- a/packages/requests/src/claim-messages.ts
+++ b/packages/requests/src/claim-messages.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {ErrorKind} from '@parsleyvale/shared';
 import {claimObjectSchema} from './claim-object.js';
 
--- a/packages/requests/src/claim-object.ts
+++ b/packages/requests/src/claim-object.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {Claim} from '@parsleyvale/kernel';
 import type {ErrorKind} from '@parsleyvale/shared';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Outcome of a request with a claim; the field is called `ending` in the store and in messages. */
 const outcomeSchema = z.enum(['answered', 'unknown']);
--- a/packages/shared/src/schemas/configuration.ts
+++ b/packages/shared/src/schemas/configuration.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {nameSchema, portSchema} from './names.js';
 
 const ratioSchema = z.number().min(0).max(1);
--- a/packages/shared/src/schemas/settings.ts
+++ b/packages/shared/src/schemas/settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {nameSchema, portSchema} from './names.js';
 
 const addressSchema = z.union([z.ipv4(), z.ipv6()]);
--- a/packages/stand-ins/src/backend-control.ts
+++ b/packages/stand-ins/src/backend-control.ts
@@ -5,7 +5,7 @@
 	type ServerResponse,
 } from 'node:http';
 import type {Endpoint} from '@parsleyvale/shared';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {BackendCounts} from './backend-counts.js';
 import {
 	backendFaultsSchema,
--- a/packages/stand-ins/src/backend-faults.ts
+++ b/packages/stand-ins/src/backend-faults.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A fault to inject into a backend server, set through the control API. */
 export const backendFaultsSchema = z.strictObject({
--- a/packages/stand-ins/src/load-report.ts
+++ b/packages/stand-ins/src/load-report.ts
@@ -1,5 +1,5 @@
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** How the reported load differs from the actual one. */
 export const loadReportSettingsSchema = z.strictObject({
--- a/packages/stand-ins/src/object-store-faults.ts
+++ b/packages/stand-ins/src/object-store-faults.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {isWrite, type CallKind} from './object-store-call.js';
 
 /** A fault to inject into the object store, set through a control call. */
--- a/packages/steering/src/model.ts
+++ b/packages/steering/src/model.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const nameSchema = z.string().min(1);
 const millisecondsSchema = z.number().min(0);
