Leave most of the retry allowance to the active hosts

Cause: the allowance of retries is divided by all hosts that hold a share.

Ruled out: the ratio, of which seven tenths are used at each host.

Before: of 20 requests whose answers are lost at once, an active host of 195 retries one; after: at least four (430 allowed).

Active hosts share three quarters, idle ones a quarter.

--- a/packages/steering/__tests__/limits.test.ts
+++ b/packages/steering/__tests__/limits.test.ts
@@ -1,6 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {RetryBudget} from '../src/repeat-budget.js';
+import {computeRetryParts, RetryBudget} from '../src/repeat-budget.js';
 import {
 	createConfiguration,
 	createCustomer,
@@ -322,3 +322,52 @@
 		}
 	});
 });
+
+describe('the retries of a fleet of 195 hosts, 27 of them active', () => {
+	const retryAllowance = 430;
+
+	it('are mostly left to the active hosts', () => {
+		const session = new KernelSession({random: () => 0, retryAllowance});
+		const servers = Array.from({length: 40}, (_, index) =>
+			createServer({id: `server-${index}`, slots: 100}),
+		);
+		session.start(servers);
+		for (let sequence = 1; sequence <= 12; sequence++) {
+			for (let index = 0; index < 194; index++) {
+				const digest = createDigest({
+					name: `other-${index}`,
+					sequence,
+					requestsPerSecond: index < 26 ? 10 : 0,
+				});
+				session.handle({type: 'digest-received', digest});
+			}
+
+			for (let count = 0; count < 10; count++) {
+				session.endAttempt(session.send().id, 1);
+				session.wait(100);
+			}
+		}
+
+		const sent = Array.from({length: 20}, () => session.send());
+		const retries = sent.flatMap(({id}) =>
+			session
+				.endAttempt(id, 1, {outcome: 'unknown', status: undefined})
+				.filter(({type}) => type === 'forward'),
+		);
+		expect(retries.length).toBeGreaterThanOrEqual(4);
+	});
+
+	it('never exceed the allowance in sum', () => {
+		for (const [active, all] of [
+			[1, 1],
+			[9, 9],
+			[27, 195],
+			[195, 195],
+		] as const) {
+			const sum =
+				active / computeRetryParts(true, active, all) +
+				(all - active) / computeRetryParts(false, active, all);
+			expect(sum).toBeLessThanOrEqual(1);
+		}
+	});
+});
--- a/packages/steering/src/repeat-budget.ts
+++ b/packages/steering/src/repeat-budget.ts
@@ -14,6 +14,24 @@
 /** A bucket holds at least one retry, even if the host's share of the allowance is smaller. */
 const minimumCapacity = 1;
 
+/** Fraction of the allowance that the active hosts share; the other hosts share the rest. */
+const activeHostsFraction = 0.75;
+
+/**
+ * Computes into how many equal parts the allowance is divided, of which this host
+ * has one. A few active hosts of a large fleet carry nearly all requests, and so
+ * nearly all that fail.
+ */
+export function computeRetryParts(
+	isActive: boolean,
+	activeHosts: number,
+	allHosts: number,
+): number {
+	return isActive
+		? activeHosts / activeHostsFraction
+		: allHosts / (1 - activeHostsFraction);
+}
+
 type RetryBucket = {retries: number; refilledAt: Milliseconds};
 
 /** Limits the retries of each service. */
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -11,6 +11,7 @@
 import type {LiveRequest} from './live-request.js';
 import {WaitLimits} from './wait-limits.js';
 import type {Placer, PlacementFailure} from './placer.js';
+import {computeRetryParts} from './repeat-budget.js';
 import {RequestLog, type ArrivalRefusal} from './request-log.js';
 import {TrafficSplit} from './traffic-split.js';
 import type {SteeringContext} from './types.js';
@@ -72,7 +73,7 @@
 			return;
 		}
 
-		retries.onRequest(service, this.#countHosts(now), now);
+		retries.onRequest(service, this.#countRetryParts(now), now);
 		this.#requests.set(arrival.requestId, request);
 		this.#placeOrQueue(request, context);
 	}
@@ -271,13 +272,19 @@
 	#takeRetry({service}: LiveRequest, now: Milliseconds): boolean {
 		return this.#options.limits.retries.take(
 			service,
-			this.#countHosts(now),
+			this.#countRetryParts(now),
 			now,
 		);
 	}
 
-	#countHosts(now: Milliseconds): number {
-		return this.#options.hostState.members.listShareHolders(now).length + 1;
+	#countRetryParts(now: Milliseconds): number {
+		const {members, requestRate} = this.#options.hostState;
+		const ownRate = requestRate.computePerSecond(now);
+		return computeRetryParts(
+			this.#options.hostState.isActive(now),
+			members.listActive(ownRate).length + 1,
+			members.listShareHolders(now).length + 1,
+		);
 	}
 
 	#deliver(
