Ignore reports of a store outage that this host has not had

Before: the new test places a request on the server that has left, and the host's digests pass the outage on.

--- a/packages/steering/__tests__/host-state.test.ts
+++ b/packages/steering/__tests__/host-state.test.ts
@@ -289,6 +289,26 @@
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
 	});
 
+	it('that leave while only other hosts were turned away by the store are removed at once', () => {
+		const session = new KernelSession();
+		session.start([createServer({slots: 100})]);
+		for (let round = 0; round < 12; round++) {
+			session.handle({type: 'store-answered'});
+			session.wait(500);
+		}
+
+		const digest = createDigest({storeRegainedAgoMs: 300});
+		session.handle({type: 'digest-received', digest});
+		session.listServers([], 2);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+		const reported = session
+			.wait(1000)
+			.flatMap((effect) =>
+				effect.type === 'send-digest' ? [effect.digest.storeRegainedAgoMs] : [],
+			);
+		expect(new Set(reported)).toEqual(new Set([null]));
+	});
+
 	it('that left while a request ran there get no other for its object', () => {
 		const session = new KernelSession();
 		session.start([createServer({})]);
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -199,6 +199,8 @@
 			this.#hasAnnouncedReading = true;
 			if (isReading) {
 				this.#hostState.storeOutage.onReadingStarted(context.now);
+			} else {
+				this.#hostState.storeOutage.onReadingStopped();
 			}
 
 			context.emit({type: 'set-reading', isReading});
--- a/packages/steering/src/store-outage.ts
+++ b/packages/steering/src/store-outage.ts
@@ -14,25 +14,41 @@
 /** Detects store outages that were long enough for servers' entries to expire. */
 export class StoreOutage {
 	#lastAnsweredAt: Milliseconds | undefined;
+	/** Since when the store has answered this host without an outage; undefined: it does not read. */
+	#answeredSince: Milliseconds | undefined;
 	#outageEndedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
 	/** This host started reading from the store; earlier silence does not count as an outage. */
 	onReadingStarted(now: Milliseconds): void {
 		this.#lastAnsweredAt = now;
+		this.#answeredSince = undefined;
+	}
+
+	onReadingStopped(): void {
+		this.#answeredSince = undefined;
 	}
 
 	onAnswered(now: Milliseconds): void {
 		const lastAnsweredAt = this.#lastAnsweredAt ?? now;
 		if (now - lastAnsweredAt >= minimumOutage) {
 			this.#outageEndedAt = now;
+			this.#answeredSince = now;
 		}
 
+		this.#answeredSince ??= now;
 		this.#lastAnsweredAt = now;
 	}
 
-	/** Another host reports the time since the end of an outage. */
+	/**
+	 * Another host reports the time since the end of an outage. If the store has
+	 * answered this host all along, only the other one was turned away, and servers
+	 * could renew their entries.
+	 */
 	onReported(timeSinceOutage: Milliseconds, now: Milliseconds): void {
-		this.#outageEndedAt = Math.max(this.#outageEndedAt, now - timeSinceOutage);
+		const endedAt = now - timeSinceOutage;
+		if (!this.#wasAnsweredSince(endedAt - minimumOutage, now)) {
+			this.#outageEndedAt = Math.max(this.#outageEndedAt, endedAt);
+		}
 	}
 
 	/** Time since the last outage ended; null if none was recent, since undefined is lost in messages. */
@@ -58,4 +74,12 @@
 			? Number.NEGATIVE_INFINITY
 			: this.#outageEndedAt + reregistrationDuration;
 	}
+
+	#wasAnsweredSince(since: Milliseconds, now: Milliseconds): boolean {
+		return (
+			this.#answeredSince !== undefined &&
+			this.#answeredSince <= since &&
+			now - this.#lastAnsweredAt! < minimumOutage
+		);
+	}
 }
