Tell callers of a host that has just started to return when it is configured

Cause: a starting host refused with a delay of 50 ms, meant for another host that serves at once.

Ruled out: to hold them until the host is configured; nothing is known then of whether they can be served.

Before: 50 ms, the new test fails; after: 150 to 500 ms, spread at random. 110 of 110 tests of steering pass.

--- a/packages/steering/__tests__/requests.test.ts
+++ b/packages/steering/__tests__/requests.test.ts
@@ -213,6 +213,20 @@
 	});
 });
 
+describe('a request at a host that has just started', () => {
+	it('is told to return when the host should be configured, not at once', () => {
+		for (const value of [0, 0.5, 0.99]) {
+			const session = new KernelSession({random: () => value});
+			const refused = session
+				.send()
+				.effects.find((effect) => effect.type === 'refuse');
+			expect(String(refused?.kind)).toEqual('not-configured');
+			expect(refused!.retryAfter!).toBeGreaterThanOrEqual(150);
+			expect(refused!.retryAfter!).toBeLessThanOrEqual(500);
+		}
+	});
+});
+
 describe('a request for an object', () => {
 	it('is sent to the server that handled an earlier one', () => {
 		const session = new KernelSession();
--- a/packages/steering/src/wait-limits.ts
+++ b/packages/steering/src/wait-limits.ts
@@ -1,6 +1,6 @@
 import {
+	ErrorKind,
 	getErrorResponse,
-	type ErrorKind,
 	type Milliseconds,
 } from '@parsleyvale/shared';
 import type {LiveRequest} from './live-request.js';
@@ -13,6 +13,12 @@
 /** Bounds of the retry delay given to callers that were refused for lack of capacity. */
 const minimumRetryAfter: Milliseconds = 250;
 const maximumRetryAfter: Milliseconds = 900;
+/**
+ * Bounds of the retry delay given by a host that has just started: it is configured
+ * after about 100 ms, and the others may have started with it.
+ */
+const minimumStartRetryAfter: Milliseconds = 150;
+const maximumStartRetryAfter: Milliseconds = 500;
 /** Retry delay where another host may serve the caller immediately. */
 const otherHostRetryAfter: Milliseconds = 50;
 
@@ -67,13 +73,20 @@
 	/** Returns the delay after which a refused caller should retry, with jitter so that callers do not return at once. */
 	computeRetryAfter(kind: ErrorKind): Milliseconds | undefined {
 		const {retry} = getErrorResponse(kind);
+		if (kind === ErrorKind.NotConfigured) {
+			return this.#drawDelay(minimumStartRetryAfter, maximumStartRetryAfter);
+		}
+
 		if (retry === 'other-host') {
 			return otherHostRetryAfter;
 		}
 
-		const jitter = this.#random();
 		return retry === 'after-delay'
-			? minimumRetryAfter + jitter * (maximumRetryAfter - minimumRetryAfter)
+			? this.#drawDelay(minimumRetryAfter, maximumRetryAfter)
 			: undefined;
 	}
+
+	#drawDelay(minimum: Milliseconds, maximum: Milliseconds): Milliseconds {
+		return minimum + this.#random() * (maximum - minimum);
+	}
 }
