--- a/packages/kernel/__tests__/kernel-driver.test.ts
+++ b/packages/kernel/__tests__/kernel-driver.test.ts
@@ -2,16 +2,7 @@
 import {createManualClock} from '@parsleyvale/shared';
 import {expect} from 'earl';
 import {createKernel, KernelDriver} from '../src/index.js';
-
-const self = {
-	name: 'tpe-a-1',
-	incarnation: '1',
-	region: 'tpe',
-	failureDomain: 'tpe-a',
-	callers: {address: '127.0.0.1', port: 1},
-	peers: {address: '127.0.0.1', port: 2},
-	leaving: false,
-};
+import {self} from './support/self.js';
 
 describe('the driver of a kernel', () => {
 	it('carries out the other effects, and further events, after one has failed', () => {
--- a/packages/kernel/__tests__/kernel.test.ts
+++ b/packages/kernel/__tests__/kernel.test.ts
@@ -6,16 +6,7 @@
 	createServiceKey,
 	type Kernel,
 } from '../src/index.js';
-
-const self = {
-	name: 'tpe-a-1',
-	incarnation: '1',
-	region: 'tpe',
-	failureDomain: 'tpe-a',
-	callers: {address: '127.0.0.1', port: 1},
-	peers: {address: '127.0.0.1', port: 2},
-	leaving: false,
-};
+import {self} from './support/self.js';
 
 class RecorderPlugin extends Plugin {
 	readonly records: string[] = [];
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -3,6 +3,7 @@
 import {hostStateKey, type HostState} from './host-state.js';
 import type {Digest} from './digest.js';
 import {createLoadReport} from './load-report.js';
+import {DigestReceivers} from './digest-receivers.js';
 import type {SteeringEffect} from './effect.js';
 import type {SteeringEvent} from './event.js';
 import {limitsKey, type Limits} from './limits.js';
@@ -22,8 +23,6 @@
 const confirmInterval: Milliseconds = 1000;
 /** Maximum interval between digests of an active host to all hosts of its region, whose look-ups name it. */
 const regionAnnouncementInterval: Milliseconds = 2000;
-/** In a failure domain with this many other hosts, idle ones announce themselves only within it. */
-const largeDomainHosts = 8;
 /** A starting host sends digests to all hosts for this long, so that all of them discover it. */
 const startAnnouncementDuration: Milliseconds = 6000;
 /** Minimum interval between digests that report changes immediately. */
@@ -40,6 +39,7 @@
  */
 export class DigestPlugin extends Plugin<SteeringEvent, SteeringEffect> {
 	#hostState!: HostState;
+	#receivers!: DigestReceivers;
 	#limits!: Limits;
 	#placer!: Placer;
 	#sequence = 0;
@@ -61,6 +61,7 @@
 
 	install(kernel: SteeringKernel): void {
 		this.#hostState = kernel.inject(hostStateKey);
+		this.#receivers = new DigestReceivers(this.#hostState);
 		this.#limits = kernel.inject(limitsKey);
 		this.#placer = kernel.inject(placerKey);
 		kernel.on('tick', (_event, context) => {
@@ -91,13 +92,13 @@
 		if (now - this.#lastSentToAll >= interval) {
 			this.#lastSentToAll = now;
 			this.#lastSentToRegion = now;
-			this.#sendToAll(knownMembers, isActive, context);
+			this.#sendToAll(isActive, context);
 		} else if (
 			isActive &&
 			now - this.#lastSentToRegion >= regionAnnouncementInterval
 		) {
 			this.#lastSentToRegion = now;
-			this.#sendShort(this.#listIdle(this.#isInRegion, context), context);
+			this.#sendShort(this.#receivers.listIdleInRegion(now), context);
 		}
 
 		if (isActive && !this.#wasActive) {
@@ -118,11 +119,7 @@
 	 */
 	#announceStart(context: SteeringContext): void {
 		if (this.#isStarting(context.now)) {
-			const {members} = this.#hostState;
-			const unheard = members
-				.listKnown()
-				.filter(({lastHeardAt}) => lastHeardAt === undefined);
-			this.#sendShort(unheard, context);
+			this.#sendShort(this.#receivers.listUnheard(), context);
 		}
 	}
 
@@ -160,8 +157,7 @@
 	/** Reports load and customers' counts to the active hosts. */
 	#reportLoad(context: SteeringContext): void {
 		const {now} = context;
-		const {settings} = this.#hostState;
-		const active = this.#listActive(now);
+		const active = this.#receivers.listActive(now);
 		const intervalFactor = computeIntervalFactor(
 			active.length,
 			hostsAtFullRate,
@@ -186,9 +182,7 @@
 			this.#sendCounts(active, context);
 		}
 
-		const inRegion = active.filter(
-			({host}) => host.region === settings.self.region,
-		);
+		const inRegion = this.#receivers.listActiveInRegion(now);
 		const regionIntervalFactor = computeIntervalFactor(
 			inRegion.length,
 			regionHostsAtFullRate,
@@ -204,57 +198,22 @@
 	 * the active hosts, which enforce customers' rates, and omits idle hosts of
 	 * other regions, or of other failure domains if its own is large.
 	 */
-	#sendToAll(
-		knownMembers: readonly Member[],
-		isActive: boolean,
-		context: SteeringContext,
-	): void {
+	#sendToAll(isActive: boolean, context: SteeringContext): void {
 		const {now} = context;
 		const {isReading} = this.#hostState;
 		const includesAllRegions = isActive || isReading || this.#isStarting(now);
-		const isReceiver = includesAllRegions
-			? () => true
-			: this.#isLargeDomain(knownMembers)
-				? this.#isInDomain
-				: this.#isInRegion;
-		this.#sendShort(this.#listIdle(isReceiver, context), context);
+		const idle = includesAllRegions
+			? this.#receivers.listIdle(now)
+			: this.#receivers.listIdleNeighbours(now);
+		this.#sendShort(idle, context);
 		if (!isActive) {
 			const customers = this.#limits.rates.summarize(now);
 			const digest = {...this.#createDigest(now), customers};
-			this.#send(this.#listActive(now), digest, context);
+			this.#send(this.#receivers.listActive(now), digest, context);
 			this.#limits.rates.markReported();
 		}
 	}
 
-	#listIdle(
-		isReceiver: (member: Member) => boolean,
-		{now}: SteeringContext,
-	): readonly Member[] {
-		const active = new Set(this.#listActive(now));
-		return this.#hostState.members
-			.listKnown()
-			.filter((member) => !active.has(member) && isReceiver(member));
-	}
-
-	readonly #isInRegion = ({host}: Member): boolean =>
-		host.region === this.#hostState.settings.self.region;
-
-	readonly #isInDomain = (member: Member): boolean =>
-		this.#isInRegion(member) &&
-		member.host.failureDomain === this.#hostState.settings.self.failureDomain;
-
-	#isLargeDomain(knownMembers: readonly Member[]): boolean {
-		return (
-			knownMembers.filter((member) => this.#isInDomain(member)).length >=
-			largeDomainHosts
-		);
-	}
-
-	#listActive(now: Milliseconds): readonly Member[] {
-		const {members, requestRate} = this.#hostState;
-		return members.listActive(requestRate.computePerSecond(now));
-	}
-
 	/** Whether this host has newer data from the store than it has announced. */
 	#hasUnreportedChanges(): boolean {
 		const {configuration, serverTable} = this.#hostState;
@@ -303,7 +262,7 @@
 	#createFullDigest(now: Milliseconds): Digest {
 		const {serverTable} = this.#hostState;
 		const intervalFactor = computeIntervalFactor(
-			this.#listActive(now).length,
+			this.#receivers.listActive(now).length,
 			hostsAtFullRate,
 		);
 		const handledSpan = digestsWithHandled * fleetInterval * intervalFactor;
@@ -364,9 +323,9 @@
 
 		this.#lastCleanupAt = now;
 		const {members, settings} = this.#hostState;
-		const isCleaner = this.#listActive(now).every(
-			({host}) => host.name > settings.self.name,
-		);
+		const isCleaner = this.#receivers
+			.listActive(now)
+			.every(({host}) => host.name > settings.self.name);
 		if (isCleaner && this.#hostState.isActive(now)) {
 			for (const name of members.listExpired(now)) {
 				context.emit({type: 'remove-host-entry', name});
