Leave the wait for the first configuration to the readers

Each polls four kinds, and each of the servers that register meanwhile answers all of their polls of that kind.

Before: a host that hears of five readers without a configuration reads, too; after: it does not, and does if it hears of none (tests). 177 tests of steering and platform pass.

--- a/packages/steering/__tests__/large-fleet.test.ts
+++ b/packages/steering/__tests__/large-fleet.test.ts
@@ -216,6 +216,48 @@
 	});
 });
 
+describe('a new fleet without a configuration', () => {
+	/** Returns whether a host reads from the store after the others have announced themselves. */
+	const isReading = (isOtherReading: (index: number) => boolean) => {
+		const session = new KernelSession({
+			random: () => 0,
+			self: createHost({name: 'self'}),
+		});
+		session.listServers([createServer({})], 1);
+		let wasReading = true;
+		for (let sequence = 1; sequence <= 5; sequence++) {
+			for (let index = 0; index < 194; index++) {
+				const digest = createDigest({
+					name: `other-${index}`,
+					incarnation: `other-${index}`,
+					sequence,
+					requestsPerSecond: 0,
+					configurationVersion: -1,
+					configurationAgeMs: null,
+					isReading: isOtherReading(index),
+				});
+				session.handle({type: 'digest-received', digest});
+			}
+
+			for (const effect of session.wait(1000)) {
+				if (effect.type === 'set-reading') {
+					wasReading = effect.isReading;
+				}
+			}
+		}
+
+		return wasReading;
+	};
+
+	it('is watched by few hosts until there is one', () => {
+		expect(isReading((index) => index < 5)).toEqual(false);
+	});
+
+	it('is watched by every host that hears of no others that do', () => {
+		expect(isReading(() => false)).toEqual(true);
+	});
+});
+
 describe('entries of silent hosts', () => {
 	const listRemovedEntries = (isActive: boolean): string[] => {
 		const session = new KernelSession();
--- a/packages/steering/src/readers.ts
+++ b/packages/steering/src/readers.ts
@@ -6,6 +6,8 @@
 const readerCount = 5;
 /** A host reads from the store itself if its configuration has not been confirmed for this long. */
 const maximumConfirmationAge: Milliseconds = 3000;
+/** Readers that must be waiting for the first configuration, so that one of them may fail. */
+const minimumWaitingReaders = 2;
 /** How long the result of an election is reused; hosts are heard from less often. */
 const electionInterval: Milliseconds = 200;
 
@@ -26,11 +28,29 @@
 	/** Whether this host should read from the store now. */
 	isReader(now: Milliseconds): boolean {
 		const {configuration, serverTable} = this.#hostState;
-		return (
-			serverTable.revision < 0 ||
-			configuration.computeConfirmationAge(now) > maximumConfirmationAge ||
-			this.#isElected(now)
-		);
+		const isCurrent =
+			serverTable.revision >= 0 &&
+			configuration.computeConfirmationAge(now) <= maximumConfirmationAge;
+		const mayLeaveReading =
+			isCurrent || (configuration.version < 0 && this.#areReadersWaiting(now));
+		return !mayLeaveReading || this.#isElected(now);
+	}
+
+	/**
+	 * Whether hosts that read from the store wait for the first configuration, too.
+	 * Otherwise, all hosts of a new fleet would poll the store until the operator
+	 * writes it, and each server that registers would answer all of the polls.
+	 */
+	#areReadersWaiting(now: Milliseconds): boolean {
+		const waiting = this.#hostState.members
+			.listLive(now)
+			.filter(
+				({digest}) =>
+					digest?.isReading === true &&
+					!digest.isStoreLost &&
+					digest.configurationVersion < 0,
+			);
+		return waiting.length >= minimumWaitingReaders;
 	}
 
 	/** Whether this host is among the readers chosen by hash, ignoring hosts that cannot reach the store. */
