--- a/packages/steering/__tests__/limits.test.ts
+++ b/packages/steering/__tests__/limits.test.ts
@@ -23,11 +23,11 @@
 function createSimulation(
 	customer: {readonly ratePerSecond: number; readonly burst: number},
 	seed: number,
-	isFirstStart = true,
+	{isFirstStart = true, hostsPerRegion = 3} = {},
 ): FleetSimulation {
 	return new FleetSimulation({
 		regions,
-		hostsPerRegion: 3,
+		hostsPerRegion,
 		configuration: createConfiguration({
 			routes: [createRoute({latencyObjectiveMs: 100})],
 			customers: [createCustomer(customer)],
@@ -71,6 +71,22 @@
 	);
 }
 
+describe('the rate of a customer over 90 hosts that are all active', () => {
+	it('is enforced although each of them reports only every 2.3 seconds', () => {
+		const ratePerSecond = 200;
+		const simulation = createSimulation(
+			{ratePerSecond, burst: ratePerSecond},
+			6,
+			{hostsPerRegion: 30},
+		);
+		const busiest = countBusiestWindow(
+			runLoad(simulation, 3 * ratePerSecond, 8),
+		);
+		const entitlement = ratePerSecond * 5 + ratePerSecond;
+		expect(busiest).toBeLessThanOrEqual(entitlement * 1.1 + 20);
+	});
+});
+
 describe('a caller beyond the rate of its customer', () => {
 	const ratePerSecond = 5;
 
@@ -185,7 +201,10 @@
 
 	it('is enforced after all hosts have restarted', () => {
 		const customer = {ratePerSecond: 30, burst: 30};
-		const outcomes = runLoad(createSimulation(customer, 9, false), 150);
+		const outcomes = runLoad(
+			createSimulation(customer, 9, {isFirstStart: false}),
+			150,
+		);
 		expect(countBusiestWindow(outcomes)).toBeLessThanOrEqual(
 			(30 * 5 + 30) * 1.1 + 20,
 		);
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -16,8 +16,12 @@
 const urgentReportFraction = 0.7;
 /** Reports that may be due, in transit or lost at the same time. */
 const maximumReportsInTransit = 3;
-/** Reports of an active host arrive at least this often, unless some are lost. */
+/**
+ * Reports arrive at least this often, unless some are lost, from any host of a fleet
+ * of up to 20 hosts, and from active hosts; the interval grows with the fleet.
+ */
 const regularReportInterval: Milliseconds = 1.5 * second;
+const hostsAtRegularInterval = 20;
 /** Fraction of the limit on unreported admissions at which they are reported without waiting for the next digest. */
 const unreportedFractionToReport = 0.6;
 /** Bounds of the delay after which a caller beyond its rate should return. */
@@ -125,6 +129,9 @@
 			return;
 		}
 
+		const hosts = this.#options.members.listKnown().length;
+		const regularInterval =
+			regularReportInterval * Math.max(1, hosts / hostsAtRegularInterval);
 		for (const [customer, [, admitted]] of Object.entries(customers ?? {})) {
 			const bucket = this.#buckets.get(customer);
 			const lastCount = bucket?.remoteCounts.get(name);
@@ -139,7 +146,7 @@
 				bucket.tokens -= computeUnpaid(
 					admitted - alreadyCounted,
 					now - lastCount.reportedAt,
-					bucket.customer.ratePerSecond,
+					{ratePerSecond: bucket.customer.ratePerSecond, regularInterval},
 				);
 			}
 		}
@@ -346,10 +353,13 @@
 function computeUnpaid(
 	admissions: number,
 	interval: Milliseconds,
-	ratePerSecond: number,
+	{
+		ratePerSecond,
+		regularInterval,
+	}: {readonly ratePerSecond: number; readonly regularInterval: Milliseconds},
 ): number {
 	const paidByRefill = (ratePerSecond * interval) / second;
-	const recent = admissions * Math.min(1, regularReportInterval / interval);
+	const recent = admissions * Math.min(1, regularInterval / interval);
 	return Math.max(recent, admissions - paidByRefill);
 }
 
