--- a/packages/kernel/src/kernel-driver.ts
+++ b/packages/kernel/src/kernel-driver.ts
@@ -67,12 +67,12 @@
 			}
 
 			for (const effect of this.#kernel.handle(event, this.#clock.now())) {
-				this.#carryOut(effect);
+				this.#handleEffect(effect);
 			}
 		}
 	}
 
-	#carryOut(effect: EffectUnion): void {
+	#handleEffect(effect: EffectUnion): void {
 		try {
 			this.#handlers.get(effect.type)?.(effect);
 		} catch (error) {
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -69,7 +69,7 @@
 			this.#cleanUpWhenDue(context);
 		});
 		kernel.on('hosts-listed', (_event, context) => {
-			this.#announceStart(context);
+			this.#reportStart(context);
 		});
 		kernel.on('stop-requested', (_event, context) => {
 			this.#sendShort(this.#hostState.members.listKnown(), context);
@@ -117,7 +117,7 @@
 	 * from. Until then they keep shares of the customers' rates for each other,
 	 * so that a fleet that restarts as a whole refuses most requests.
 	 */
-	#announceStart(context: SteeringContext): void {
+	#reportStart(context: SteeringContext): void {
 		if (this.#isStarting(context.now)) {
 			this.#sendShort(this.#receivers.listUnheard(), context);
 		}
--- a/packages/steering/src/wait-limits.ts
+++ b/packages/steering/src/wait-limits.ts
@@ -74,7 +74,7 @@
 	computeRetryAfter(kind: ErrorKind): Milliseconds | undefined {
 		const {retry} = getErrorResponse(kind);
 		if (kind === ErrorKind.NotConfigured) {
-			return this.#drawDelay(minimumStartRetryAfter, maximumStartRetryAfter);
+			return this.#chooseDelay(minimumStartRetryAfter, maximumStartRetryAfter);
 		}
 
 		if (retry === 'other-host') {
@@ -82,11 +82,11 @@
 		}
 
 		return retry === 'after-delay'
-			? this.#drawDelay(minimumRetryAfter, maximumRetryAfter)
+			? this.#chooseDelay(minimumRetryAfter, maximumRetryAfter)
 			: undefined;
 	}
 
-	#drawDelay(minimum: Milliseconds, maximum: Milliseconds): Milliseconds {
+	#chooseDelay(minimum: Milliseconds, maximum: Milliseconds): Milliseconds {
 		return minimum + this.#random() * (maximum - minimum);
 	}
 }
