Reject malformed request heads whatever the runtime's parser accepts

What callers saw: with Node.js 20.19.0 a request with a bare LF after its request line was served (200), and one with an empty header name reached placement (503); both have to be 400. On the untouched code `malformed-requests` fails in these two tests on each run (53 of 55 pass).

Cause: the head's syntax was left to the parser of the runtime. A bare server on three runtimes (arm64): llhttp 8.1.2 (20.19.0) accepts both, and also a bare LF as the empty line, two CRs before it and a bare LF after the last trailer; llhttp 9.3.1 (20.20.2) and 9.2.1 (22.0.0) refuse them. It reports the same header for a bare LF as for CRLF, so the received bytes are checked, beside the parser, once for both front ends: heads line by line, bodies skipped by the length that the parser reported. Ruled out as places: the parsers of servers' responses (undici's own llhttp, http-parser-js) do not depend on the runtime. Line terminators of chunk sizes and trailers are left to the parser: bodies are framed anew towards servers.

Test: `malformed-heads`, seven heads behind other requests, in pieces (8 of 8); with `malformed-requests` on 20.19.0 and 20.20.2. Nothing behind such a head is started.

--- a/packages/pipelining/src/connection-pipeline.ts
+++ b/packages/pipelining/src/connection-pipeline.ts
@@ -53,8 +53,12 @@
 		});
 	}
 
-	/** Calls `start` once the requests in front allow it. */
+	/** Calls `start` once the requests in front allow it. Nothing is started after `endWith`. */
 	add(pipelinedRequest: PipelinedRequest): void {
+		if (this.#endWith !== undefined) {
+			return;
+		}
+
 		this.#waiting.push(pipelinedRequest);
 		this.#startNext();
 	}
--- a/packages/pipelining/src/request-pipelines.ts
+++ b/packages/pipelining/src/request-pipelines.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {ConnectionPipeline} from './connection-pipeline.js';
+import {RequestScanner} from './request-scanner.js';
 
 /** Default limit on the requests of one connection in progress at the same time. */
 export const defaultMaximumPipelinedRequests = 8;
@@ -26,10 +27,14 @@
 export class RequestPipelines {
 	readonly #options: RequestPipelinesOptions;
 	readonly #pipelines = new WeakMap<Socket, ConnectionPipeline>();
+	readonly #scanners = new WeakMap<Socket, RequestScanner>();
 	#isClosing = false;
 
 	constructor(options: RequestPipelinesOptions) {
 		this.#options = options;
+		options.server.on('connection', (socket) => {
+			this.#addScanner(socket);
+		});
 		options.server.on(
 			'clientError',
 			(error: NodeJS.ErrnoException, socket: Socket) => {
@@ -38,13 +43,22 @@
 		);
 	}
 
-	/** Calls `start` once the requests in front of this one on its connection allow it. */
+	/**
+	 * Calls `start` once the requests in front of this one on its connection allow it.
+	 * A request with a malformed head is refused like one that cannot be parsed.
+	 */
 	add(
 		request: IncomingMessage,
 		response: ServerResponse,
 		start: () => void,
 	): void {
-		this.#getPipeline(request.socket).add({request, response, start});
+		const {socket} = request;
+		const pipeline = this.#getPipeline(socket);
+		if (this.#scanners.get(socket)?.checkHead(request) === false) {
+			pipeline.endWith(this.#options.formatRefusal(createHeadError()));
+		} else {
+			pipeline.add({request, response, start});
+		}
 	}
 
 	/** From now on, no request is started behind another one. */
@@ -62,6 +76,14 @@
 		);
 	}
 
+	#addScanner(socket: Socket): void {
+		const scanner = new RequestScanner();
+		this.#scanners.set(socket, scanner);
+		socket.prependListener('data', (bytes) => {
+			scanner.onData(bytes);
+		});
+	}
+
 	#getPipeline(socket: Socket): ConnectionPipeline {
 		const existing = this.#pipelines.get(socket);
 		if (existing !== undefined) {
@@ -86,3 +108,9 @@
 		this.#getPipeline(socket).endWith(this.#options.formatRefusal(error));
 	}
 }
+
+function createHeadError(): NodeJS.ErrnoException {
+	return Object.assign(new Error('The head of the request is malformed.'), {
+		code: 'HPE_INVALID_HEADER_TOKEN',
+	});
+}
