--- a/packages/steering/__tests__/host-state.test.ts
+++ b/packages/steering/__tests__/host-state.test.ts
@@ -254,6 +254,22 @@
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
 	});
 
+	it('that are kept after a store outage are logged with the time since its end', () => {
+		const session = new KernelSession();
+		session.start([createServer({})]);
+		const digest = createDigest({storeRegainedAgoMs: 300});
+		session.handle({type: 'digest-received', digest});
+		const changes = [
+			...session.listServers([], 2),
+			...session.listServers([], 3),
+		].flatMap((effect) =>
+			effect.type === 'log' && effect.message === 'server changed'
+				? [[effect.fields.change, effect.fields.storeRegainedAgoMs]]
+				: [],
+		);
+		expect(changes).toEqual([['missing', 300]]);
+	});
+
 	it('that leave after a single failed store call are removed at once', () => {
 		const session = new KernelSession();
 		session.start([createServer({})]);
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -132,6 +132,8 @@
 		revision: number,
 		context: SteeringContext,
 	): void {
+		const storeRegainedAgoMs =
+			this.#hostState.storeOutage.computeTimeSinceOutage(context.now);
 		for (const {server, kind} of changes) {
 			log(context, 'server changed', {
 				server: server.id,
@@ -140,6 +142,9 @@
 				change: kind,
 				coldRemainingMs: server.coldRemainingMs,
 				revision,
+				...(kind === 'missing' && storeRegainedAgoMs !== null
+					? {storeRegainedAgoMs}
+					: {}),
 			});
 		}
 	}
--- a/packages/steering/src/server-table.ts
+++ b/packages/steering/src/server-table.ts
@@ -5,10 +5,13 @@
 import {ServerState} from './server-state.js';
 import {ServicePool} from './service-pool.js';
 
-/** A change from one list of servers to the next; `restarted` includes a change of service. */
+/**
+ * A change from one list of servers to the next. `restarted` includes a change of
+ * service; a `missing` server is still used, until it has left or reappeared.
+ */
 export type ServerChange = {
 	readonly server: BackendServer;
-	readonly kind: 'joined' | 'left' | 'draining' | 'restarted';
+	readonly kind: 'joined' | 'left' | 'draining' | 'restarted' | 'missing';
 };
 
 /** Servers and evacuated failure domains, each at a revision of the store. */
@@ -147,8 +150,11 @@
 		removeMissingAt: Milliseconds,
 	): ServerChange[] {
 		this.#revision = revision;
-		this.#markMissing(servers, removeMissingAt);
-		const changes = this.#removeMissing(now);
+		const missing = this.#markMissing(servers, removeMissingAt);
+		const changes = [
+			...this.#removeMissing(now),
+			...missing.filter(({server}) => this.#missing.has(server.id)),
+		];
 		for (const server of servers) {
 			const change = this.#update(server, now);
 			if (change !== undefined) {
@@ -159,14 +165,20 @@
 		return changes;
 	}
 
+	/** Returns the servers that were in the list before. */
 	#markMissing(
 		servers: readonly BackendServer[],
 		removeMissingAt: Milliseconds,
-	): void {
+	): ServerChange[] {
 		const present = new Set(servers.map(({id}) => id));
+		const changes: ServerChange[] = [];
 		this.#missing.clear();
 		for (const [id, state] of this.#states) {
 			const isPresent = present.has(id);
+			if (!isPresent && state.removeMissingAt === undefined) {
+				changes.push({server: state.server, kind: 'missing'});
+			}
+
 			state.removeMissingAt = isPresent
 				? undefined
 				: (state.removeMissingAt ?? removeMissingAt);
@@ -174,6 +186,8 @@
 				this.#missing.add(id);
 			}
 		}
+
+		return changes;
 	}
 
 	#removeMissing(now: Milliseconds): ServerChange[] {
