Keep the earliest end of a store outage, whichever host noticed it

What callers saw (DRAIN): after an outage of the store, requests still reached servers that had left without a `draining` entry, 2,018 to 2,165 ms after the store had acknowledged it (bound 2,000). All ten hosts kept a server for exactly 2.3 s.

Class of fault: a fact with one true time was merged as if the newest report were the best. The store is back from the earliest report; a later one within the shortest outage is the same outage. A host that others saw answered throughout no longer counts as an outage, either.

--- /dev/null
+++ b/packages/steering/__tests__/support/store-simulation.ts
@@ -0,0 +1,343 @@
+import {createManualClock, type Milliseconds} from '@parsleyvale/shared';
+import {
+	createSteering,
+	type BackendServer,
+	type SteeringConfiguration,
+	type SteeringEffect,
+	type SteeringEvent,
+	type SteeringEventOf,
+	type SteeringHost,
+	type SteeringKernel,
+} from '../../src/index.js';
+import {createRandom} from './random.js';
+
+/** A time in which the store does not answer some hosts. */
+export type Outage = {
+	readonly from: Milliseconds;
+	readonly duration: Milliseconds;
+	/** Indices of the hosts; undefined: all, and the entries of servers expire. */
+	readonly hosts: readonly number[] | undefined;
+};
+
+export type StoreSimulationOptions = {
+	readonly hosts: readonly SteeringHost[];
+	readonly configuration: SteeringConfiguration;
+	readonly servers: readonly BackendServer[];
+	readonly outages: readonly Outage[];
+	readonly seed: number;
+};
+
+type FleetList = SteeringEventOf<'fleet-listed'>;
+
+export type ReadingHost = {
+	readonly kernel: SteeringKernel;
+	readonly index: number;
+	isReading: boolean;
+	/** Revision of the last list read from the store; undefined: list again. */
+	readRevision: number | undefined;
+	lastList: FleetList | undefined;
+	nextReadAt: Milliseconds;
+};
+
+const tickInterval: Milliseconds = 50;
+const storeRoundTrip: Milliseconds = 30;
+const minimumPoll: Milliseconds = 1500;
+const batchingDelay: Milliseconds = 250;
+/** How long a call hangs before the host gives it up. */
+const callTimeout: Milliseconds = 900;
+const maximumBackoff: Milliseconds = 600;
+const maximumDelay: Milliseconds = 40;
+const lossRate = 0.02;
+/** When servers whose entries expired in an outage are registered again. */
+const reregistrationDelay: Milliseconds = 2000;
+
+/**
+ * Simulates the store, its outages, and the messages between hosts on a virtual
+ * clock; hosts run the real kernel. Only those that read get lists from the store.
+ */
+export class StoreSimulation {
+	readonly clock = createManualClock(0);
+	readonly hosts: ReadingHost[];
+	readonly #options: StoreSimulationOptions;
+	readonly #random: () => number;
+	readonly #servers = new Map<string, BackendServer>();
+	readonly #expired = new Set<string>();
+	#revision = 1;
+	#requests = 0;
+	#pending: Array<{readonly at: Milliseconds; readonly action: () => void}> =
+		[];
+
+	constructor(options: StoreSimulationOptions) {
+		this.#options = options;
+		this.#random = createRandom(options.seed);
+		for (const server of options.servers) {
+			this.#servers.set(server.id, server);
+		}
+
+		this.hosts = options.hosts.map((self, index) => ({
+			kernel: createSteering({
+				self,
+				regions: new Map(
+					options.hosts.map(({failureDomain, region}) => [
+						failureDomain,
+						region,
+					]),
+				),
+				isFirstStart: true,
+				maximumWithdrawalDelay: 5000,
+				retryRatio: 0.2,
+				retryAllowance: 60,
+				retryWindowDuration: 10_000,
+				rateTolerance: {windowDuration: 5000, fraction: 0.1, requests: 20},
+				stopTimeout: 6000,
+				random: this.#random,
+			}),
+			index,
+			isReading: true,
+			readRevision: undefined,
+			lastList: undefined,
+			nextReadAt: Math.round(this.#random() * 300),
+		}));
+		for (const outage of options.outages) {
+			this.#scheduleExpiry(outage);
+		}
+
+		for (const {kernel} of this.hosts) {
+			this.#handle(kernel, {type: 'hosts-listed', hosts: options.hosts});
+		}
+	}
+
+	schedule(at: Milliseconds, action: () => void): void {
+		this.#pending.push({at, action});
+	}
+
+	/** Changes the entry of a server, or removes it for good. */
+	change(id: string, server: BackendServer | undefined): void {
+		this.#revision += 1;
+		this.#expired.delete(id);
+		if (server === undefined) {
+			this.#servers.delete(id);
+		} else {
+			this.#servers.set(id, server);
+		}
+	}
+
+	/** Whether an outage affects the host, or one has ended less than `margin` before. */
+	isAffected(
+		{index}: ReadingHost,
+		at: Milliseconds,
+		margin: Milliseconds,
+	): boolean {
+		return this.#options.outages.some(
+			({from, duration, hosts}) =>
+				(hosts === undefined || hosts.includes(index)) &&
+				at >= from &&
+				at < from + duration + margin,
+		);
+	}
+
+	runUntil(end: Milliseconds): void {
+		while (this.clock.now() < end) {
+			this.clock.advance(10);
+			const now = this.clock.now();
+			const due = this.#pending
+				.filter(({at}) => at <= now)
+				.sort((a, b) => a.at - b.at);
+			this.#pending = this.#pending.filter(({at}) => at > now);
+			for (const {action} of due) {
+				action();
+			}
+
+			for (const host of this.hosts) {
+				this.#readWhenDue(host);
+				if ((now + host.index * 10) % tickInterval === 0) {
+					this.#handle(host.kernel, {type: 'tick'});
+				}
+			}
+		}
+	}
+
+	/** Sends a request to the host and returns the server that it is forwarded to. */
+	findTarget({kernel}: ReadingHost, path: string): string | undefined {
+		const requestId = `request-${++this.#requests}`;
+		const effects = kernel.handle(
+			{
+				type: 'request-arrived',
+				requestId,
+				callerId: undefined,
+				hostName: 'example',
+				path,
+				keyHash: 'key',
+				affinity: undefined,
+				bodyBytes: 0,
+				arrivedAt: this.clock.now(),
+				timeLeft: 1000,
+			},
+			this.clock.now(),
+		);
+		const forward = effects.find((effect) => effect.type === 'forward');
+		if (forward !== undefined) {
+			this.#handle(kernel, {
+				type: 'attempt-ended',
+				requestId,
+				attempt: forward.attempt,
+				outcome: 'answered',
+				status: 200,
+				isAnswerBuffered: true,
+				isReplayable: true,
+				load: undefined,
+				connectTime: undefined,
+				responseBytes: 0,
+			});
+		}
+
+		return forward?.server.id;
+	}
+
+	#scheduleExpiry({from, duration, hosts}: Outage): void {
+		if (hosts !== undefined || duration < 3000) {
+			return;
+		}
+
+		const removed: BackendServer[] = [];
+		this.schedule(from + duration - 10, () => {
+			for (const server of this.#servers.values()) {
+				removed.push(server);
+				this.change(server.id, undefined);
+				this.#expired.add(server.id);
+			}
+		});
+		this.schedule(
+			from + duration + Math.round(this.#random() * reregistrationDelay),
+			() => {
+				for (const server of removed) {
+					if (this.#expired.has(server.id)) {
+						this.change(server.id, server);
+					}
+				}
+			},
+		);
+	}
+
+	#readWhenDue(host: ReadingHost): void {
+		const now = this.clock.now();
+		const hasNews = host.readRevision !== this.#revision;
+		const isDue = hasNews
+			? now >= host.nextReadAt - minimumPoll + batchingDelay
+			: now >= host.nextReadAt;
+		if (!host.isReading || !isDue) {
+			return;
+		}
+
+		const {kernel} = host;
+		if (this.isAffected(host, now, 0)) {
+			host.nextReadAt = now + callTimeout + this.#random() * maximumBackoff;
+			host.nextReadAt += minimumPoll - batchingDelay;
+			this.#handle(kernel, {type: 'store-failed', reason: 'timeout'});
+			return;
+		}
+
+		host.nextReadAt = now + minimumPoll * (1 + this.#random());
+		const list = this.#createList();
+		host.readRevision = this.#revision;
+		this.schedule(now + storeRoundTrip, () => {
+			this.#deliver(host, list, hasNews);
+		});
+	}
+
+	#deliver(host: ReadingHost, list: FleetList, hasNews: boolean): void {
+		if (!host.isReading) {
+			return;
+		}
+
+		const {configuration} = this.#options;
+		const {kernel} = host;
+		this.#handle(kernel, {type: 'store-answered'});
+		this.#handle(kernel, {
+			type: 'configuration-read',
+			configuration,
+			confirmationAge: storeRoundTrip,
+		});
+		if (hasNews) {
+			host.lastList = list;
+			this.#handle(kernel, list);
+		}
+	}
+
+	#createList(): FleetList {
+		return {
+			type: 'fleet-listed',
+			revision: this.#revision,
+			servers: [...this.#servers.values()],
+			evacuationsRevision: 1,
+			evacuated: [],
+		};
+	}
+
+	#handle(kernel: SteeringKernel, event: SteeringEvent): void {
+		for (const effect of kernel.handle(event, this.clock.now())) {
+			this.#apply(kernel, effect);
+		}
+	}
+
+	#apply(kernel: SteeringKernel, effect: SteeringEffect): void {
+		const host = this.hosts.find((other) => other.kernel === kernel)!;
+		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check -- Other effects do not reach the store or other hosts.
+		switch (effect.type) {
+			case 'set-reading': {
+				if (effect.isReading && !host.isReading) {
+					host.readRevision = undefined;
+					host.nextReadAt = this.clock.now();
+				}
+
+				host.isReading = effect.isReading;
+				break;
+			}
+
+			case 'fetch-copy': {
+				this.#fetchCopy(host, effect.name);
+				break;
+			}
+
+			case 'send-digest': {
+				for (const {peerAddress} of effect.to) {
+					this.#sendDigest(peerAddress, effect.digest);
+				}
+
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	#sendDigest(
+		receiver: string,
+		digest: SteeringEventOf<'digest-received'>['digest'],
+	): void {
+		const to = this.hosts.find(
+			({index}) => this.#options.hosts[index]!.peerAddress === receiver,
+		);
+		if (to !== undefined && this.#random() >= lossRate) {
+			const delay = this.#random() * maximumDelay;
+			this.schedule(this.clock.now() + delay, () => {
+				this.#handle(to.kernel, {type: 'digest-received', digest});
+			});
+		}
+	}
+
+	#fetchCopy(host: ReadingHost, sourceName: string): void {
+		const source = this.hosts.find(
+			({kernel}) => kernel.self.name === sourceName,
+		);
+		const list = source?.lastList;
+		if (list !== undefined) {
+			this.schedule(this.clock.now() + 2 * maximumDelay, () => {
+				host.lastList = list;
+				this.#handle(host.kernel, list);
+			});
+		}
+	}
+}
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -122,7 +122,10 @@
 		const changes = serverTable.apply(
 			snapshot,
 			context.now,
-			storeOutage.computeReregistrationDeadline(members.listLive(context.now)),
+			storeOutage.computeReregistrationDeadline(
+				members.listLive(context.now),
+				context.now,
+			),
 		);
 		this.#logChanges(changes, snapshot.revision, context);
 	}
--- a/packages/steering/src/store-outage.ts
+++ b/packages/steering/src/store-outage.ts
@@ -31,7 +31,7 @@
 	onAnswered(now: Milliseconds): void {
 		const lastAnsweredAt = this.#lastAnsweredAt ?? now;
 		if (now - lastAnsweredAt >= minimumOutage) {
-			this.#outageEndedAt = now;
+			this.#recordEnd(now);
 			this.#answeredSince = now;
 		}
 
@@ -47,7 +47,7 @@
 	onReported(timeSinceOutage: Milliseconds, now: Milliseconds): void {
 		const endedAt = now - timeSinceOutage;
 		if (!this.#wasAnsweredSince(endedAt - minimumOutage, now)) {
-			this.#outageEndedAt = Math.max(this.#outageEndedAt, endedAt);
+			this.#recordEnd(endedAt);
 		}
 	}
 
@@ -63,18 +63,38 @@
 	 * Computes until when missing entries may reappear. If another host could read
 	 * from the store all along, only this host was partitioned from it.
 	 */
-	computeReregistrationDeadline(others: readonly Member[]): Milliseconds {
+	computeReregistrationDeadline(
+		others: readonly Member[],
+		now: Milliseconds,
+	): Milliseconds {
+		const outageBegan = this.#outageEndedAt - minimumOutage;
 		const wasStoreReachable = others.some(
 			({digest}) =>
 				digest?.isReading === true &&
 				!digest.isStoreLost &&
-				digest.storeRegainedAgoMs === null,
+				(digest.storeRegainedAgoMs === null ||
+					now - digest.storeRegainedAgoMs <= outageBegan),
 		);
 		return wasStoreReachable
 			? Number.NEGATIVE_INFINITY
 			: this.#outageEndedAt + reregistrationDuration;
 	}
 
+	/**
+	 * Hosts notice the end of an outage one after the other, and reports of it are
+	 * older than they say by the time in transit. The store is back from the earliest
+	 * of these times; only one at least as long after it as an outage lasts belongs to
+	 * another outage.
+	 */
+	#recordEnd(endedAt: Milliseconds): void {
+		const difference = endedAt - this.#outageEndedAt;
+		if (difference >= minimumOutage) {
+			this.#outageEndedAt = endedAt;
+		} else if (difference > -minimumOutage) {
+			this.#outageEndedAt = Math.min(this.#outageEndedAt, endedAt);
+		}
+	}
+
 	#wasAnsweredSince(since: Milliseconds, now: Milliseconds): boolean {
 		return (
 			this.#answeredSince !== undefined &&
