Do not take a poll that the store holds for seconds for an outage

Cause: a host counted 3 s without an answer as an outage, and its polls last up to 3 s.

Change: the time for which the store held a poll counts as reachable. Ruled out: a longer minimum for outages, as entries may expire in one of 3 s.

--- a/packages/soak/src/store-stand-in.ts
+++ b/packages/soak/src/store-stand-in.ts
@@ -5,6 +5,7 @@
 	type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Milliseconds} from '@parsleyvale/shared';
 
 type StoredObject = {
 	readonly metadata: {readonly name: string; readonly revision: number};
@@ -40,6 +41,8 @@
 	readonly calls: string[] = [];
 	/** Called after each response to a read. */
 	onRead: (() => void) | undefined;
+	/** How much later than requested the response to a poll without changes is sent. */
+	responseDelay: Milliseconds = 0;
 	/** Maximum number of objects in a list response. */
 	pageSize = 500;
 	readonly #server: Server;
@@ -271,7 +274,7 @@
 		const timer = setTimeout(() => {
 			finish();
 			tryRespond(true);
-		}, timeoutMs);
+		}, timeoutMs + this.responseDelay);
 		const finish = () => {
 			clearTimeout(timer);
 			this.#watchers.delete(notify);
--- a/packages/steering/__tests__/host-state.test.ts
+++ b/packages/steering/__tests__/host-state.test.ts
@@ -239,10 +239,10 @@
 	it('whose entries expired in a store outage are kept until they had time to reappear', () => {
 		const session = new KernelSession();
 		session.start([createServer({slots: 100})]);
-		session.handle({type: 'store-answered'});
+		session.handle({type: 'store-answered', heldDuration: 0});
 		session.wait(4000);
 		session.handle({type: 'store-failed', reason: 'timeout'});
-		session.handle({type: 'store-answered'});
+		session.handle({type: 'store-answered', heldDuration: 0});
 		session.listServers([], 2);
 		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
 		session.handle({
@@ -273,11 +273,21 @@
 	it('that leave after a single failed store call are removed at once', () => {
 		const session = new KernelSession();
 		session.start([createServer({})]);
-		session.handle({type: 'store-answered'});
+		session.handle({type: 'store-answered', heldDuration: 0});
 		session.wait(1000);
 		session.handle({type: 'store-failed', reason: 'ECONNRESET'});
 		session.wait(200);
-		session.handle({type: 'store-answered'});
+		session.handle({type: 'store-answered', heldDuration: 0});
+		session.listServers([], 2);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('that leave after a poll that the store held for seconds are removed at once', () => {
+		const session = new KernelSession();
+		session.start([createServer({})]);
+		session.handle({type: 'store-answered', heldDuration: 0});
+		session.wait(3200);
+		session.handle({type: 'store-answered', heldDuration: 3000});
 		session.listServers([], 2);
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
 	});
@@ -285,10 +295,10 @@
 	it('that leave while only this host was partitioned from the store are removed at once', () => {
 		const session = new KernelSession();
 		session.start([createServer({})]);
-		session.handle({type: 'store-answered'});
+		session.handle({type: 'store-answered', heldDuration: 0});
 		session.wait(4000);
 		session.handle({type: 'store-failed', reason: 'timeout'});
-		session.handle({type: 'store-answered'});
+		session.handle({type: 'store-answered', heldDuration: 0});
 		session.handle({type: 'digest-received', digest: createDigest({})});
 		session.listServers([], 2);
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
@@ -309,7 +319,7 @@
 		const session = new KernelSession();
 		session.start([createServer({slots: 100})]);
 		for (let round = 0; round < 12; round++) {
-			session.handle({type: 'store-answered'});
+			session.handle({type: 'store-answered', heldDuration: 0});
 			session.wait(500);
 		}
 
--- a/packages/steering/__tests__/support/fleet-simulation.ts
+++ b/packages/steering/__tests__/support/fleet-simulation.ts
@@ -160,7 +160,7 @@
 					configuration,
 					confirmationAge: 0,
 				});
-				this.handle(kernel, {type: 'store-answered'});
+				this.handle(kernel, {type: 'store-answered', heldDuration: 0});
 			}
 		}
 	}
--- a/packages/steering/__tests__/support/store-simulation.ts
+++ b/packages/steering/__tests__/support/store-simulation.ts
@@ -252,7 +252,7 @@
 
 		const {configuration} = this.#options;
 		const {kernel} = host;
-		this.#handle(kernel, {type: 'store-answered'});
+		this.#handle(kernel, {type: 'store-answered', heldDuration: 0});
 		this.#handle(kernel, {
 			type: 'configuration-read',
 			configuration,
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -82,7 +82,11 @@
 			/** Time since the version was confirmed. */
 			readonly confirmationAge: Milliseconds;
 	  }
-	| {readonly type: 'store-answered'}
+	| {
+			readonly type: 'store-answered';
+			/** Time for which the store held the call open, and was reachable. */
+			readonly heldDuration: Milliseconds;
+	  }
 	/** A call to the store failed. */
 	| {readonly type: 'store-failed'; readonly reason: string}
 	/** All servers and all evacuated failure domains, at their revisions of the store. */
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -42,8 +42,8 @@
 				this.#hostState.configuration.confirm(version, now - confirmationAge);
 			},
 		);
-		kernel.on('store-answered', (_event, context) => {
-			this.#onStoreAnswered(context);
+		kernel.on('store-answered', ({heldDuration}, context) => {
+			this.#onStoreAnswered(heldDuration, context);
 		});
 		kernel.on('store-failed', ({reason}, context) => {
 			this.#onStoreFailed(reason, context);
@@ -99,8 +99,8 @@
 		}
 	}
 
-	#onStoreAnswered(context: SteeringContext): void {
-		this.#hostState.storeOutage.onAnswered(context.now);
+	#onStoreAnswered(heldDuration: Milliseconds, context: SteeringContext): void {
+		this.#hostState.storeOutage.onAnswered(context.now, heldDuration);
 		if (this.#hostState.isStoreUnreachable) {
 			this.#hostState.isStoreUnreachable = false;
 			log(context, 'store regained', {});
--- a/packages/steering/src/store-outage.ts
+++ b/packages/steering/src/store-outage.ts
@@ -28,9 +28,10 @@
 		this.#answeredSince = undefined;
 	}
 
-	onAnswered(now: Milliseconds): void {
+	/** A call was answered that the store had held open for `heldDuration`. */
+	onAnswered(now: Milliseconds, heldDuration: Milliseconds): void {
 		const lastAnsweredAt = this.#lastAnsweredAt ?? now;
-		if (now - lastAnsweredAt >= minimumOutage) {
+		if (now - heldDuration - lastAnsweredAt >= minimumOutage) {
 			this.#recordEnd(now);
 			this.#answeredSince = now;
 		}
