--- /dev/null
+++ b/packages/entry/__tests__/attempt.test.ts
@@ -0,0 +1,77 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {Attempt, AttemptListener, type AttemptResult} from '../src/attempt.js';
+import {createServer, headerNames} from './support/attempt-options.js';
+
+function unexpected(): never {
+	throw new Error('The response is buffered, not streamed.');
+}
+
+class RecordingListener extends AttemptListener {
+	result: AttemptResult | undefined;
+
+	override onStreamStart = unexpected;
+	override onStreamData = unexpected;
+	override onStreamEnd = unexpected;
+	override onStreamAborted = unexpected;
+
+	override onEnded(_attempt: Attempt, result: AttemptResult): void {
+		this.result = result;
+	}
+}
+
+/** Returns the result of an attempt that gets the given response. */
+function receive(status: number, rawHeaders: readonly string[]) {
+	const listener = new RecordingListener();
+	const attempt = new Attempt({
+		number: 1,
+		server: createServer(),
+		requestId: '1',
+		isHead: false,
+		headerNames,
+		listener,
+	});
+	attempt.onConnected(undefined);
+	attempt.onResponseHead({
+		status,
+		rawHeaders: ['x-id', '1', 'x-seal', 's', ...rawHeaders],
+		shouldKeepAlive: true,
+	});
+	attempt.onResponseEnd();
+	return listener.result!;
+}
+
+describe('the rate limit of a server', () => {
+	const limits: ReadonlyArray<[string, number | undefined]> = [
+		['4.9', 4.9],
+		['12', 12],
+		['0', 0],
+		['0.25', 0.25],
+	];
+	for (const [text, requestsPerSecond] of limits) {
+		it(`is read from "${text}"`, () => {
+			expect(receive(200, ['X-Limit', text]).rateLimit).toEqual({
+				requestsPerSecond,
+			});
+		});
+	}
+
+	for (const text of ['', '-1', '1e3', 'NaN', '4,9', '4.', '.5', '5 6']) {
+		it(`is not read from "${text}", which does not end it either`, () => {
+			expect(receive(200, ['X-Limit', text]).rateLimit).toEqual(undefined);
+		});
+	}
+
+	it('is none without the header', () => {
+		expect(receive(200, []).rateLimit).toEqual({requestsPerSecond: undefined});
+	});
+
+	it('is also read from a rejection', () => {
+		const {rateLimit} = receive(503, ['x-not-run', '1', 'x-limit', '2.5']);
+		expect(rateLimit).toEqual({requestsPerSecond: 2.5});
+	});
+
+	it('is not read from the response of another server', () => {
+		expect(receive(421, ['x-limit', '2.5']).rateLimit).toEqual(undefined);
+	});
+});
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -3,6 +3,7 @@
 import type {
 	BackendServer,
 	ReportedLoad,
+	ReportedRateLimit,
 	SteeringAttemptEnded,
 	SteeringOutcome,
 } from '@parsleyvale/steering';
@@ -37,6 +38,7 @@
 	| 'status'
 	| 'isAnswerBuffered'
 	| 'load'
+	| 'rateLimit'
 	| 'connectTime'
 	| 'responseBytes'
 > & {readonly reason: string | undefined};
@@ -161,6 +163,12 @@
 			status: head?.status,
 			isAnswerBuffered: !this.#isStreaming,
 			load: parseLoad(load),
+			rateLimit:
+				outcome === 'answered' || outcome === 'not-run'
+					? parseRateLimit(
+							findRawHeader(head?.rawHeaders ?? [], headerNames.rateLimit),
+						)
+					: undefined,
 			connectTime: this.#connectTime,
 			responseBytes: this.#bodyBytes,
 			reason,
@@ -175,3 +183,16 @@
 		? undefined
 		: {running: Number(match[1]), waiting: Number(match[2])};
 }
+
+/** Parses the header with a server's rate limit; a missing one means no limit, and one that is no number says nothing. */
+function parseRateLimit(
+	text: string | undefined,
+): ReportedRateLimit | undefined {
+	if (text === undefined) {
+		return {requestsPerSecond: undefined};
+	}
+
+	return /^\d{1,9}(?:\.\d{1,9})?$/.test(text)
+		? {requestsPerSecond: Number(text)}
+		: undefined;
+}
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -174,6 +174,7 @@
 			isAnswerBuffered: result.isAnswerBuffered,
 			isReplayable: !this.#hasStreamedBody && result.isAnswerBuffered,
 			load: result.load,
+			rateLimit: result.rateLimit,
 			connectTime: result.connectTime,
 			responseBytes: result.responseBytes,
 		};
--- a/packages/entry/src/header-names.ts
+++ b/packages/entry/src/header-names.ts
@@ -11,6 +11,8 @@
 	/** Present if the server did not run the request. */
 	readonly notRun: string;
 	readonly load: string;
+	/** Carries the requests per second that a server in need takes from all hosts together. */
+	readonly rateLimit: string;
 	/** Carries the server's signature of its response. */
 	readonly seal: string;
 };
--- a/packages/steering/__tests__/support/fleet-simulation.ts
+++ b/packages/steering/__tests__/support/fleet-simulation.ts
@@ -343,6 +343,7 @@
 					isAnswerBuffered: true,
 					isReplayable: true,
 					load,
+					rateLimit: {requestsPerSecond: simulated.rateLimit},
 					connectTime: delay * 2,
 					responseBytes: this.#options.responseBytes ?? 0,
 				});
--- a/packages/steering/__tests__/support/kernel-session.ts
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -174,6 +174,7 @@
 			isAnswerBuffered: true,
 			isReplayable: true,
 			load: undefined,
+			rateLimit: undefined,
 			connectTime: undefined,
 			responseBytes: 0,
 			...values,
--- a/packages/steering/__tests__/support/simulated-server.ts
+++ b/packages/steering/__tests__/support/simulated-server.ts
@@ -23,6 +23,8 @@
 /** Simulates a backend server with slots, a queue and an LRU cache of objects. */
 export class SimulatedServer {
 	slowness = 1;
+	/** Limit that its responses state, in requests per second; it does not enforce it. */
+	rateLimit: number | undefined;
 	runs = 0;
 	readonly #options: SimulatedServerOptions;
 	readonly #running = new Set<SimulatedWork>();
--- a/packages/steering/__tests__/support/store-simulation.ts
+++ b/packages/steering/__tests__/support/store-simulation.ts
@@ -186,6 +186,7 @@
 				isAnswerBuffered: true,
 				isReplayable: true,
 				load: undefined,
+				rateLimit: undefined,
 				connectTime: undefined,
 				responseBytes: 0,
 			});
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -25,6 +25,12 @@
 	readonly waiting: number;
 };
 
+/** The rate limit that a response of a server states. */
+export type ReportedRateLimit = {
+	/** Requests that the server takes from all hosts together; undefined: it states no limit. */
+	readonly requestsPerSecond: number | undefined;
+};
+
 /** A caller's request, with as much of its body read as is buffered. */
 export type SteeringArrival = {
 	readonly type: 'request-arrived';
@@ -57,6 +63,8 @@
 	/** Whether the request body is still buffered, so that it can be sent again. */
 	readonly isReplayable: boolean;
 	readonly load: ReportedLoad | undefined;
+	/** Undefined: no response, or one whose limit cannot be read. */
+	readonly rateLimit: ReportedRateLimit | undefined;
 	/** Round trip time of a new connection; undefined on a reused one. */
 	readonly connectTime: Milliseconds | undefined;
 	/** Length of the received response body. */
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -4,6 +4,7 @@
 export type {LogValue, SteeringEffect} from './effect.js';
 export type {
 	ReportedLoad,
+	ReportedRateLimit,
 	SteeringArrival,
 	SteeringAttemptEnded,
 	SteeringEvent,
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -10,7 +10,7 @@
 import type {Limits} from './limits.js';
 import type {LiveRequest} from './live-request.js';
 import {WaitLimits} from './wait-limits.js';
-import type {Placer, PlacementFailure} from './placer.js';
+import type {Placement, Placer, PlacementFailure} from './placer.js';
 import {computeRetryParts} from './repeat-budget.js';
 import {RequestLog, type ArrivalRefusal} from './request-log.js';
 import {TrafficSplit} from './traffic-split.js';
@@ -92,6 +92,7 @@
 			ended,
 			context.now,
 		);
+		this.#applyRateLimit(placement, ended, context);
 		this.#queue.onCompleted(request.service, context.now);
 		this.#log.onAttemptEnded(placement, ended, isEjected, context);
 		this.#handleOutcome(request, ended, context);
@@ -203,6 +204,19 @@
 		return undefined;
 	}
 
+	#applyRateLimit(
+		{state, inFlightRequest}: Placement,
+		{rateLimit}: SteeringAttemptEnded,
+		context: SteeringContext,
+	): void {
+		const isChanged =
+			rateLimit !== undefined &&
+			state.onRateLimitReported(rateLimit, inFlightRequest, context.now);
+		if (isChanged) {
+			this.#log.onRateLimitChanged(state, context);
+		}
+	}
+
 	/** Delivers the answer, starts another attempt, or refuses the request. */
 	#handleOutcome(
 		request: LiveRequest,
--- a/packages/steering/src/request-log.ts
+++ b/packages/steering/src/request-log.ts
@@ -4,6 +4,7 @@
 import type {SteeringArrival, SteeringAttemptEnded} from './event.js';
 import type {LiveRequest} from './live-request.js';
 import type {Placement} from './placer.js';
+import type {ServerState} from './server-state.js';
 import type {SteeringContext} from './types.js';
 
 /** What is known of a request that is refused at admission. */
@@ -76,6 +77,23 @@
 		}
 	}
 
+	/** A server stated another limit on its rate, or none any more. */
+	onRateLimitChanged(
+		{server, rateLimit}: ServerState,
+		context: SteeringContext,
+	): void {
+		context.emit({
+			type: 'log',
+			priority: 'belief',
+			message: 'server rate limit changed',
+			fields: {
+				server: server.id,
+				service: server.service,
+				requestsPerSecond: rateLimit ?? 'none',
+			},
+		});
+	}
+
 	/** A request was refused at admission. */
 	onArrivalRefused(
 		{requestId, callerId}: SteeringArrival,
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -1,5 +1,5 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
-import type {ReportedLoad} from './event.js';
+import type {ReportedLoad, ReportedRateLimit} from './event.js';
 import type {CachedObjectIndex} from './cached-object-index.js';
 import type {CacheSizeEstimator} from './object-memory.js';
 import type {BackendServer} from './model.js';
@@ -45,6 +45,8 @@
 	#failures = 0;
 	#ejections = 0;
 	#ejectedUntil: Milliseconds = 0;
+	#rateLimit: number | undefined;
+	#rateLimitReportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	#reportedRemoteLoad = 0;
 	#reportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	/** Hashes of recently handled objects, least recently used first. */
@@ -217,6 +219,49 @@
 		this.#reportedAt = now;
 	}
 
+	/** Requests per second that the server takes from all hosts together; undefined: no limit. */
+	get rateLimit(): number | undefined {
+		return this.#rateLimit;
+	}
+
+	/** When the server was last known to state its limit, or that it has none any more. */
+	get rateLimitReportedAt(): Milliseconds {
+		return this.#rateLimitReportedAt;
+	}
+
+	/**
+	 * Applies what the response to a request of this host states; returns whether the
+	 * limit changed.
+	 */
+	onRateLimitReported(
+		{requestsPerSecond}: ReportedRateLimit,
+		{sentAt}: InFlightRequest,
+		now: Milliseconds,
+	): boolean {
+		// A request may have been sent before the server was in need, and be answered later.
+		const isOutdated =
+			requestsPerSecond === undefined && sentAt <= this.#rateLimitReportedAt;
+		return !isOutdated && this.applyRateLimit(requestsPerSecond, now);
+	}
+
+	/** Applies a limit, or its end, as of the given time unless a newer one is known; returns whether it changed. */
+	applyRateLimit(
+		requestsPerSecond: number | undefined,
+		reportedAt: Milliseconds,
+	): boolean {
+		const isChanged = requestsPerSecond !== this.#rateLimit;
+		if (reportedAt <= this.#rateLimitReportedAt) {
+			return false;
+		}
+
+		if (isChanged || requestsPerSecond !== undefined) {
+			this.#rateLimitReportedAt = reportedAt;
+		}
+
+		this.#rateLimit = requestsPerSecond;
+		return isChanged;
+	}
+
 	/** The server has handled a request for the object, from this or another host. */
 	onHandled(object: number): void {
 		if (this.#hasLeft) {
