Keep to the rate limits that servers state, over all hosts together

Class of fault: a bound on a sum over all hosts, for which no host knows what the others do.

Change: each server that states a limit has a token bucket on every host, as customers have. A host takes a token for each request it sends there, reports its counts (every 0.2 s while it has unreported ones, and in its full digests) and has a share of the rate by its demand when few tokens are left. A bucket begins empty, and only the share is used until every host had the time to report. Limits are passed on by the host whose request got the response, with their age; so is their end. A server without a token is no candidate; if only such servers are left, that is no-room, not no-server. A limit below 0.25 a second is taken as 0.25: only a response tells when it ends.

--- a/packages/entry/__tests__/digest-codec.test.ts
+++ b/packages/entry/__tests__/digest-codec.test.ts
@@ -43,7 +43,8 @@
 const countsDigest: Digest = {
 	...shortDigest,
 	customers: {kaje3: [4.5, 17]},
-	areCustomersPartial: true,
+	servers: {'i-7f3a91c2': [1.2, 40]},
+	areCountsPartial: true,
 };
 
 /** The digest of a host that serves 23 requests per second of 36 customers. */
@@ -57,6 +58,8 @@
 			.slice(0, 36)
 			.map((name, index): [string, [number, number]] => [name, [0.7, index]]),
 	),
+	servers: {'i-5f3a91c2': [0.4, 3], 'i-6f3a91c2': [2.5, 0]},
+	rateLimits: {'i-5f3a91c2': [2.625, 80], 'i-6f3a91c2': [null, 0]},
 };
 
 describe('a digest', () => {
@@ -88,6 +91,8 @@
 			handled: [],
 			firstWork: [],
 			customers: {},
+			servers: {},
+			rateLimits: {},
 		};
 		const codec = createCodec();
 		const bytes = Buffer.from(codec.encode(digest));
@@ -104,6 +109,8 @@
 			handled: [],
 			firstWork: [],
 			customers: {},
+			servers: {},
+			rateLimits: {},
 		});
 	});
 });
--- a/packages/entry/src/digest-codec.ts
+++ b/packages/entry/src/digest-codec.ts
@@ -6,10 +6,14 @@
 
 type Message = InstanceType<typeof parsleyvale.entry.DigestMessage>;
 type LoadProperties = parsleyvale.entry.LoadMessage.$Properties;
-type CustomersProperties = parsleyvale.entry.CustomersMessage.$Properties;
+type CountsProperties = parsleyvale.entry.CountsMessage.$Properties;
+type RateLimitsProperties = parsleyvale.entry.RateLimitsMessage.$Properties;
+type Counts = NonNullable<Digest['customers']>;
 
 /** Rates are sent as requests in ten seconds, a whole number. */
 const rateScale = 10;
+/** Stands for the end of a rate limit. */
+const noLimit = -1;
 
 /** Encodes and decodes the datagrams that carry digests. */
 export class DigestCodec {
@@ -22,7 +26,8 @@
 	}
 
 	encode(digest: Digest): Uint8Array {
-		const {requestsPerSecond, configurationAgeMs, inFlight, customers} = digest;
+		const {requestsPerSecond, configurationAgeMs, inFlight} = digest;
+		const {customers, servers, rateLimits} = digest;
 		const {handled, firstWork, ...common} = digest;
 		return parsleyvale.entry.DigestMessage.encode({
 			...common,
@@ -30,7 +35,9 @@
 			configurationAgeMs:
 				configurationAgeMs === null ? null : Math.max(0, configurationAgeMs),
 			load: inFlight && this.#createLoad(inFlight, handled, firstWork),
-			customers: customers && this.#createCustomers(customers),
+			customers: customers && createCounts(customers, this.#customers),
+			servers: servers && createCounts(servers, this.#servers),
+			rateLimits: rateLimits && this.#createRateLimits(rateLimits),
 		}).finish();
 	}
 
@@ -49,7 +56,7 @@
 	}
 
 	#toDigest(message: Message): Digest {
-		const {load, customers} = message;
+		const {load, customers, servers, rateLimits} = message;
 		return {
 			name: message.name,
 			incarnation: message.incarnation,
@@ -70,8 +77,10 @@
 			fleetRevision: message.fleetRevision,
 			evacuationsRevision: message.evacuationsRevision,
 			...(load && this.#toLoad(load)),
-			...(customers && {customers: this.#toCustomers(customers)}),
-			...(message.areCustomersPartial && {areCustomersPartial: true}),
+			...(customers && {customers: toCounts(customers, this.#customers)}),
+			...(servers && {servers: toCounts(servers, this.#servers)}),
+			...(rateLimits && {rateLimits: this.#toRateLimits(rateLimits)}),
+			...(message.areCountsPartial && {areCountsPartial: true}),
 		};
 	}
 
@@ -92,14 +101,14 @@
 		};
 	}
 
-	#createCustomers(
-		customers: NonNullable<Digest['customers']>,
-	): CustomersProperties {
-		const counts = Object.values(customers);
+	#createRateLimits(
+		rateLimits: NonNullable<Digest['rateLimits']>,
+	): RateLimitsProperties {
+		const limits = Object.values(rateLimits);
 		return {
-			names: Object.keys(customers).map((name) => this.#customers.toHash(name)),
-			requestsPerTenSeconds: counts.map(([rate]) => toWholeRate(rate)),
-			admitted: counts.map(([, admitted]) => admitted),
+			servers: Object.keys(rateLimits).map((id) => this.#servers.toHash(id)),
+			requestsPerSecond: limits.map(([limit]) => limit ?? noLimit),
+			agesMs: limits.map(([, age]) => Math.max(0, age)),
 		};
 	}
 
@@ -127,23 +136,18 @@
 		return {inFlight, handled, firstWork};
 	}
 
-	#toCustomers({
-		names,
-		requestsPerTenSeconds,
-		admitted,
-	}: CustomersProperties): NonNullable<Digest['customers']> {
-		const customers: NonNullable<Digest['customers']> = {};
-		for (const [index, hash] of (names ?? []).entries()) {
-			const name = this.#customers.findName(hash);
-			if (name !== undefined) {
-				customers[name] = [
-					getItem(requestsPerTenSeconds, index) / rateScale,
-					getItem(admitted, index),
-				];
-			}
+	#toRateLimits({
+		servers,
+		requestsPerSecond,
+		agesMs,
+	}: RateLimitsProperties): NonNullable<Digest['rateLimits']> {
+		const rateLimits: NonNullable<Digest['rateLimits']> = {};
+		for (const [id, index] of this.#findServers(servers)) {
+			const limit = getItem(requestsPerSecond, index);
+			rateLimits[id] = [limit < 0 ? null : limit, getItem(agesMs, index)];
 		}
 
-		return customers;
+		return rateLimits;
 	}
 
 	/** Returns the ids of the known servers, each with its index in the list. */
@@ -157,6 +161,33 @@
 	}
 }
 
+function createCounts(counts: Counts, hashes: NameHashes): CountsProperties {
+	const values = Object.values(counts);
+	return {
+		names: Object.keys(counts).map((name) => hashes.toHash(name)),
+		requestsPerTenSeconds: values.map(([rate]) => toWholeRate(rate)),
+		admitted: values.map(([, admitted]) => admitted),
+	};
+}
+
+function toCounts(
+	{names, requestsPerTenSeconds, admitted}: CountsProperties,
+	hashes: NameHashes,
+): Counts {
+	const counts: Counts = {};
+	for (const [index, hash] of (names ?? []).entries()) {
+		const name = hashes.findName(hash);
+		if (name !== undefined) {
+			counts[name] = [
+				getItem(requestsPerTenSeconds, index) / rateScale,
+				getItem(admitted, index),
+			];
+		}
+	}
+
+	return counts;
+}
+
 function toWholeRate(perSecond: number): number {
 	return Math.round(perSecond * rateScale);
 }
--- a/packages/steering/__tests__/support/fleet-simulation.ts
+++ b/packages/steering/__tests__/support/fleet-simulation.ts
@@ -31,6 +31,8 @@
 	readonly isFirstStart?: boolean;
 	/** When hosts are told of each other; 0: before they start. */
 	readonly hostsListedAt?: Milliseconds;
+	/** Fraction of the messages between hosts that are lost. */
+	readonly lossRate?: number;
 	readonly seed: number;
 };
 
@@ -54,7 +56,14 @@
 	serverRegions: string[];
 };
 
-type SimulatedHost = {
+/** A request that reached a server, and the incarnation of the host that sent it. */
+export type Arrival = {
+	readonly server: string;
+	readonly incarnation: string;
+	readonly at: Milliseconds;
+};
+
+export type SimulatedHost = {
 	readonly host: SteeringHost;
 	readonly kernel: SteeringKernel;
 	isUp: boolean;
@@ -75,6 +84,10 @@
 	readonly outcomes = new Map<string, Outcome>();
 	readonly hosts: SimulatedHost[] = [];
 	readonly servers = new Map<string, SimulatedServer>();
+	/** Requests that reached servers, in the order of their arrival. */
+	readonly arrivals: Arrival[] = [];
+	/** When each host first got a response that states a rate limit, by host and server. */
+	readonly limitsReceivedAt = new Map<string, Milliseconds>();
 	readonly registeredServers: BackendServer[] = [];
 	readonly random: () => number;
 	readonly #options: SimulationOptions;
@@ -89,7 +102,9 @@
 	>();
 
 	readonly #hostsByName = new Map<string, SimulatedHost>();
+	readonly #endedKernels = new Set<SteeringKernel>();
 	#requests = 0;
+	#restarts = 0;
 
 	constructor(options: SimulationOptions) {
 		this.#options = options;
@@ -137,6 +152,24 @@
 		this.servers.set(server.id, simulated);
 	}
 
+	/** Ends a host without notice, and starts it as a new incarnation after a time. */
+	restartHost(entry: SimulatedHost, downtime: Milliseconds): void {
+		entry.isUp = false;
+		this.#endedKernels.add(entry.kernel);
+		this.hosts.splice(this.hosts.indexOf(entry), 1);
+		this.schedule(this.clock.now() + downtime, () => {
+			this.#restarts += 1;
+			const {region, name} = entry.host;
+			this.#createHost(region, name, {
+				incarnation: `${name}/${this.#restarts + 1}`,
+				isFirstStart: false,
+			});
+			this.announceHosts();
+			this.announceServers();
+			this.confirmConfiguration();
+		});
+	}
+
 	/** Sends the list of servers to all hosts, as the store does. */
 	announceServers(revision = 1): void {
 		for (const {kernel} of this.hosts) {
@@ -245,6 +278,10 @@
 	}
 
 	handle(kernel: SteeringKernel, event: SteeringEvent): void {
+		if (this.#endedKernels.has(kernel)) {
+			return;
+		}
+
 		for (const effect of kernel.handle(event, this.clock.now())) {
 			this.#apply(kernel, effect);
 		}
@@ -290,8 +327,12 @@
 						to?.host.region ?? '',
 						kernel.self.region,
 					);
+					const isLost =
+						this.#options.lossRate !== undefined &&
+						this.random() < this.#options.lossRate;
 					this.schedule(now + delay, () => {
 						if (
+							!isLost &&
 							to?.isUp &&
 							!to.isPartitioned &&
 							from?.isUp &&
@@ -333,6 +374,7 @@
 				}
 
 				const isRun = status !== 'not-run';
+				this.#recordLimit(kernel, simulated, server.id);
 				outcome.status = isRun ? status : 503;
 				this.handle(kernel, {
 					type: 'attempt-ended',
@@ -352,7 +394,10 @@
 		this.#attempts.set(`${requestId}/${attempt}`, {work, server: simulated});
 		this.schedule(this.clock.now() + delay, () => {
 			if (!work.isCancelled) {
-				simulated.receive(work, this.clock.now());
+				const at = this.clock.now();
+				const {incarnation} = kernel.self;
+				this.arrivals.push({server: server.id, incarnation, at});
+				simulated.receive(work, at);
 			}
 		});
 	}
@@ -378,6 +423,17 @@
 		};
 	}
 
+	#recordLimit(
+		{self}: SteeringKernel,
+		{rateLimit}: SimulatedServer,
+		serverId: string,
+	): void {
+		const key = `${self.incarnation} ${serverId}`;
+		if (rateLimit !== undefined && !this.limitsReceivedAt.has(key)) {
+			this.limitsReceivedAt.set(key, this.clock.now());
+		}
+	}
+
 	#getDelay(from: string, to: string): Milliseconds {
 		return from === to ? delayWithinRegion : this.#options.delayBetweenRegions;
 	}
@@ -414,10 +470,17 @@
 		}
 	}
 
-	#createHost(region: string, name: string): void {
+	#createHost(
+		region: string,
+		name: string,
+		{
+			incarnation = `${name}/1`,
+			isFirstStart = this.#options.isFirstStart ?? true,
+		} = {},
+	): void {
 		const host: SteeringHost = {
 			name,
-			incarnation: `${name}/1`,
+			incarnation,
 			region,
 			failureDomain: `${region}-a`,
 			callers: '127.0.0.1:1',
@@ -428,7 +491,7 @@
 		const kernel = createSteering({
 			self: host,
 			regions: new Map([[`${region}-a`, region]]),
-			isFirstStart: this.#options.isFirstStart ?? true,
+			isFirstStart,
 			maximumWithdrawalDelay: 5000,
 			retryRatio: 0.2,
 			retryAllowance: 60,
--- a/packages/steering/src/candidates.ts
+++ b/packages/steering/src/candidates.ts
@@ -32,6 +32,12 @@
 	readonly rank: number;
 };
 
+export type CandidateList = {
+	readonly candidates: readonly Candidate[];
+	/** Whether further servers could take the request but for their rate limits. */
+	readonly isRateLimited: boolean;
+};
+
 /** Selects the servers that are scored for a request. */
 export class Candidates {
 	readonly #hostState: HostState;
@@ -46,31 +52,37 @@
 	 * Lists the object's top-ranked servers of each failure domain and those that
 	 * have it cached. Falls back to all servers of the pool if none is eligible.
 	 */
-	list(request: PlacementRequest, now: Milliseconds): Candidate[] {
+	list(request: PlacementRequest, now: Milliseconds): CandidateList {
 		const {serverTable} = this.#hostState;
+		const {serverRates} = this.#limits;
 		const pool = serverTable.findPool(request.service);
 		if (pool === undefined) {
-			return [];
+			return {candidates: [], isRateLimited: false};
 		}
 
-		const candidates = this.#listTopRanked(
+		const topRanked = this.#listTopRanked(
 			pool.rank(request.objectHash),
 			request,
 			now,
 		);
+		const candidates = [...topRanked.candidates];
 		const listed = new Set(candidates.map(({state}) => state));
 		for (const state of serverTable.cachedObjects.list(request.objectHash)) {
 			const isAdditional =
 				!listed.has(state) &&
 				state.server.service === request.service &&
 				state.hasCached(request.objectHash);
-			if (isAdditional && this.#isEligible(state, request, now)) {
+			if (
+				isAdditional &&
+				this.#isEligible(state, request, now) &&
+				serverRates.hasCapacity(state, now)
+			) {
 				candidates.push({state, rank: candidatesPerDomain, isTopRanked: false});
 			}
 		}
 
 		return candidates.length > 0
-			? candidates
+			? {candidates, isRateLimited: topRanked.isRateLimited}
 			: this.#listTopRanked(pool.servers, request, now);
 	}
 
@@ -84,20 +96,36 @@
 		states: readonly ServerState[],
 		request: PlacementRequest,
 		now: Milliseconds,
-	): Candidate[] {
+	): CandidateList {
+		const {serverRates} = this.#limits;
 		const candidates: Candidate[] = [];
 		const ranks = new Map<string, number>();
+		let isRateLimited = false;
 		for (const state of states) {
 			const {failureDomain} = state.server;
 			const rank = ranks.get(failureDomain) ?? 0;
-			if (rank < candidatesPerDomain && this.#isEligible(state, request, now)) {
+			if (
+				rank >= candidatesPerDomain ||
+				!this.#isEligible(state, request, now)
+			) {
+				continue;
+			}
+
+			if (serverRates.hasCapacity(state, now)) {
 				ranks.set(failureDomain, rank + 1);
 				const isTopRanked = candidates.length === 0;
 				candidates.push({state, rank, isTopRanked});
+				continue;
 			}
+
+			if (candidates.length === 0 && !isRateLimited) {
+				serverRates.onHeldBack(state, now);
+			}
+
+			isRateLimited = true;
 		}
 
-		return candidates;
+		return {candidates, isRateLimited};
 	}
 
 	#isEligible(
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -27,8 +27,10 @@
 const startAnnouncementDuration: Milliseconds = 6000;
 /** Minimum interval between digests that report changes immediately. */
 const reportInterval: Milliseconds = 50;
-/** Handled objects are reported in this many consecutive digests, so that one may be lost. */
-const digestsWithHandled = 2;
+/** Minimum interval between digests to all active hosts that report requests to servers with a rate limit. */
+const serverReportInterval: Milliseconds = 200;
+/** What responses have told is reported in this many consecutive digests, so that one may be lost. */
+const digestsWithResponses = 2;
 /** Interval at which expired host entries are removed from the store. */
 const cleanupInterval: Milliseconds = 5000;
 
@@ -163,7 +165,7 @@
 			hostsAtFullRate,
 		);
 		const sinceActive = now - this.#lastSentToActive;
-		const {rates} = this.#limits;
+		const {rates, serverRates} = this.#limits;
 		const mayReport = sinceActive >= reportInterval * intervalFactor;
 		if (
 			(mayReport && rates.hasUrgentReport()) ||
@@ -174,10 +176,12 @@
 		}
 
 		const sinceCounts = now - this.#lastCountsSentAt;
-		if (
-			sinceCounts >= reportInterval * intervalFactor &&
-			rates.isNearUnreportedLimit()
-		) {
+		const areCountsDue =
+			(sinceCounts >= reportInterval * intervalFactor &&
+				rates.isNearUnreportedLimit()) ||
+			(sinceCounts >= serverReportInterval * intervalFactor &&
+				serverRates.isNearUnreportedLimit());
+		if (areCountsDue) {
 			this.#lastCountsSentAt = now;
 			this.#sendCounts(active, context);
 		}
@@ -207,10 +211,9 @@
 			: this.#receivers.listIdleNeighbours(now);
 		this.#sendShort(idle, context);
 		if (!isActive) {
-			const customers = this.#limits.rates.summarize(now);
-			const digest = {...this.#createDigest(now), customers};
+			const digest = {...this.#createDigest(now), ...this.#createCounts(now)};
 			this.#send(this.#receivers.listActive(now), digest, context);
-			this.#limits.rates.markReported();
+			this.#markCountsReported();
 		}
 	}
 
@@ -235,17 +238,37 @@
 		this.#lastSentInRegion = context.now;
 		this.#lastSentToActive = context.now;
 		this.#send(to, this.#createFullDigest(context.now), context);
-		this.#limits.rates.markReported();
+		this.#markCountsReported();
 	}
 
-	/** Sends the customers' numbers that have changed, which is much less than a full digest. */
+	/** Sends the numbers that have changed, which is much less than a full digest. */
 	#sendCounts(to: readonly Member[], context: SteeringContext): void {
 		const {now} = context;
-		const {rates} = this.#limits;
-		const customers = rates.summarizeChanged(now);
-		const digest = this.#createDigest(now);
-		this.#send(to, {...digest, customers, areCustomersPartial: true}, context);
-		rates.markReported();
+		const {rates, serverRates} = this.#limits;
+		const digest = {
+			...this.#createDigest(now),
+			customers: rates.summarizeChanged(now),
+			servers: serverRates.summarizeChanged(now),
+			areCountsPartial: true,
+		};
+		this.#send(to, digest, context);
+		this.#markCountsReported();
+	}
+
+	#createCounts(
+		now: Milliseconds,
+	): Pick<Digest, 'customers' | 'servers' | 'rateLimits'> {
+		const {rates, serverRates} = this.#limits;
+		return {
+			customers: rates.summarize(now),
+			servers: serverRates.summarize(now),
+			rateLimits: serverRates.listLimits(this.#getReportStart(now), now),
+		};
+	}
+
+	#markCountsReported(): void {
+		this.#limits.rates.markReported();
+		this.#limits.serverRates.markReported();
 	}
 
 	#sendShort(to: readonly Member[], context: SteeringContext): void {
@@ -261,19 +284,23 @@
 
 	#createFullDigest(now: Milliseconds): Digest {
 		const {serverTable} = this.#hostState;
-		const intervalFactor = computeIntervalFactor(
-			this.#receivers.listActive(now).length,
-			hostsAtFullRate,
-		);
-		const handledSpan = digestsWithHandled * fleetInterval * intervalFactor;
 		return {
 			...this.#createDigest(now),
 			...createLoadReport(serverTable.states, now),
-			handled: this.#placer.listHandled(now - handledSpan),
-			customers: this.#limits.rates.summarize(now),
+			handled: this.#placer.listHandled(this.#getReportStart(now)),
+			...this.#createCounts(now),
 		};
 	}
 
+	/** Returns the time since which responses are reported. */
+	#getReportStart(now: Milliseconds): Milliseconds {
+		const intervalFactor = computeIntervalFactor(
+			this.#receivers.listActive(now).length,
+			hostsAtFullRate,
+		);
+		return now - digestsWithResponses * fleetInterval * intervalFactor;
+	}
+
 	#createDigest(now: Milliseconds): Digest {
 		const {
 			settings,
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 
 const amountSchema = z.number();
+const countsSchema = z.tuple([amountSchema, amountSchema]);
 
 /**
  * A host's state as sent to the other hosts. Each digest replaces the ones before
@@ -43,11 +44,15 @@
 	/** Uncached objects in flight: the server, the hash of the object, and the time in milliseconds until the request should end. */
 	firstWork: z.array(z.tuple([z.string(), z.int(), z.number()])).optional(),
 	/** For each customer, its requests per second at the host and the number admitted there. */
-	customers: z
-		.record(z.string(), z.tuple([amountSchema, amountSchema]))
+	customers: z.record(z.string(), countsSchema).optional(),
+	/** For each backend server with a rate limit, the requests per second at the host that are meant for it and the number sent. */
+	servers: z.record(z.string(), countsSchema).optional(),
+	/** The rate limits that responses of backend servers have lately stated (null: no longer any), and the time since then in milliseconds. */
+	rateLimits: z
+		.record(z.string(), z.tuple([amountSchema.nullable(), amountSchema]))
 		.optional(),
-	/** Whether `customers` contains only those whose number has changed since the last digest. */
-	areCustomersPartial: z.boolean().optional(),
+	/** Whether `customers` and `servers` contain only those whose number has changed since the last digest. */
+	areCountsPartial: z.boolean().optional(),
 });
 
 export type Digest = z.infer<typeof digestSchema>;
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -5,6 +5,7 @@
 import type {Digest} from './digest.js';
 import type {SteeringEffect} from './effect.js';
 import type {SteeringEvent, SteeringEventOf} from './event.js';
+import {logRateLimitChange} from './request-log.js';
 import type {ServerChange} from './server-table.js';
 import {StoreReaders} from './readers.js';
 import type {SteeringSettings} from './settings.js';
@@ -189,11 +190,23 @@
 				?.onRemoteUncachedRun(object, context.now + remaining);
 		}
 
+		this.#applyRateLimits(digest, context);
 		if (digest.inFlight !== undefined) {
 			serverTable.applyRemoteLoad(digest.name, digest.inFlight);
 		}
 	}
 
+	#applyRateLimits({rateLimits}: Digest, context: SteeringContext): void {
+		const {states} = this.#hostState.serverTable;
+		for (const [id, [limit, age]] of Object.entries(rateLimits ?? {})) {
+			const state = states.get(id);
+			const reportedAt = context.now - age - maximumDigestDelay;
+			if (state?.applyRateLimit(limit ?? undefined, reportedAt)) {
+				logRateLimitChange(state, context);
+			}
+		}
+	}
+
 	#onSuspended(context: SteeringContext): void {
 		this.#hostState.configuration.clearConfirmation();
 		this.#hostState.members.onSuspended();
--- a/packages/steering/src/limits-plugin.ts
+++ b/packages/steering/src/limits-plugin.ts
@@ -7,6 +7,7 @@
 import {limitsKey} from './limits.js';
 import {RetryBudget} from './repeat-budget.js';
 import {ServerOwners} from './server-owners.js';
+import {ServerRates} from './server-rates.js';
 import type {SteeringKernel} from './types.js';
 
 /** Provides the limits that apply to the fleet as a whole. */
@@ -16,7 +17,7 @@
 	}
 
 	install(kernel: SteeringKernel): void {
-		const {members, settings} = kernel.inject(hostStateKey);
+		const {members, settings, serverTable} = kernel.inject(hostStateKey);
 		const owners = new ServerOwners(settings.self, members);
 		const rates = new CustomerRates({
 			members,
@@ -24,14 +25,24 @@
 			tolerance: settings.rateTolerance,
 			random: settings.random,
 		});
+		const serverRates = new ServerRates({
+			members,
+			serverTable,
+			random: settings.random,
+		});
 		kernel.on('digest-received', ({digest}, {now}) => {
 			rates.onDigest(digest, now);
+			serverRates.onDigest(digest, now);
+		});
+		kernel.on('fleet-listed', () => {
+			serverRates.removeLeft();
 		});
 		kernel.on('configuration-read', ({configuration}, {now}) => {
 			rates.createBuckets(configuration.customers, now);
 		});
 		kernel.provide(limitsKey, {
 			rates,
+			serverRates,
 			retries: new RetryBudget({
 				ratio: settings.retryRatio,
 				allowance: settings.retryAllowance,
--- a/packages/steering/src/members.ts
+++ b/packages/steering/src/members.ts
@@ -107,10 +107,7 @@
 
 		member.digest = {
 			...digest,
-			customers: mergeCustomers(
-				isSameIncarnation ? existing?.digest?.customers : undefined,
-				digest,
-			),
+			...mergeCounts(isSameIncarnation ? existing?.digest : undefined, digest),
 		};
 		member.lastHeardAt = now;
 		this.#members.set(digest.name, member);
@@ -257,14 +254,20 @@
 	return lastHeardAt !== undefined && now - lastHeardAt <= timeout;
 }
 
-/** A short digest omits the customers of the last full one, a partial one most of them. */
-function mergeCustomers(
-	previous: Digest['customers'],
-	{customers, areCustomersPartial}: Digest,
-): Digest['customers'] {
-	return areCustomersPartial === true
-		? {...previous, ...customers}
-		: (customers ?? previous);
+/** A short digest omits the counts of the last full one, a partial one most of them. */
+function mergeCounts(
+	previous: Digest | undefined,
+	{customers, servers, areCountsPartial}: Digest,
+): Pick<Digest, 'customers' | 'servers'> {
+	return areCountsPartial === true
+		? {
+				customers: {...previous?.customers, ...customers},
+				servers: {...previous?.servers, ...servers},
+			}
+		: {
+				customers: customers ?? previous?.customers,
+				servers: servers ?? previous?.servers,
+			};
 }
 
 function createHost(digest: Digest): SteeringHost {
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -116,9 +116,10 @@
 		request: PlacementRequest,
 		now: Milliseconds,
 	): Result<Placement, PlacementFailure> {
-		const candidates = this.#candidates.list(request, now);
+		const {candidates, isRateLimited} = this.#candidates.list(request, now);
 		if (candidates.length === 0) {
-			return Result.err({kind: ErrorKind.NoServer, timeUntilCached: undefined});
+			const kind = isRateLimited ? ErrorKind.NoRoom : ErrorKind.NoServer;
+			return Result.err({kind, timeUntilCached: undefined});
 		}
 
 		const best =
@@ -321,6 +322,7 @@
 		const expectedTime = networkTime + queueTime + processingTime;
 		const inFlightRequest = {sentAt: now, expectedTime, objectHash};
 		state.onSent(inFlightRequest);
+		this.#limits.serverRates.take(state, now);
 		if (state.isStarting(now)) {
 			const rate = this.#candidates.getStartupRate(state);
 			this.#limits.startupPacer.take(state.server.id, rate, now);
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -12,7 +12,11 @@
 import {WaitLimits} from './wait-limits.js';
 import type {Placement, Placer, PlacementFailure} from './placer.js';
 import {computeRetryParts} from './repeat-budget.js';
-import {RequestLog, type ArrivalRefusal} from './request-log.js';
+import {
+	logRateLimitChange,
+	RequestLog,
+	type ArrivalRefusal,
+} from './request-log.js';
 import {TrafficSplit} from './traffic-split.js';
 import type {SteeringContext} from './types.js';
 import {RequestQueue} from './request-queue.js';
@@ -213,7 +217,7 @@
 			rateLimit !== undefined &&
 			state.onRateLimitReported(rateLimit, inFlightRequest, context.now);
 		if (isChanged) {
-			this.#log.onRateLimitChanged(state, context);
+			logRateLimitChange(state, context);
 		}
 	}
 
--- a/packages/steering/src/request-log.ts
+++ b/packages/steering/src/request-log.ts
@@ -77,23 +77,6 @@
 		}
 	}
 
-	/** A server stated another limit on its rate, or none any more. */
-	onRateLimitChanged(
-		{server, rateLimit}: ServerState,
-		context: SteeringContext,
-	): void {
-		context.emit({
-			type: 'log',
-			priority: 'belief',
-			message: 'server rate limit changed',
-			fields: {
-				server: server.id,
-				service: server.service,
-				requestsPerSecond: rateLimit ?? 'none',
-			},
-		});
-	}
-
 	/** A request was refused at admission. */
 	onArrivalRefused(
 		{requestId, callerId}: SteeringArrival,
@@ -155,3 +138,20 @@
 		});
 	}
 }
+
+/** Logs that a server stated another limit on its rate, or none any more. */
+export function logRateLimitChange(
+	{server, rateLimit}: ServerState,
+	context: SteeringContext,
+): void {
+	context.emit({
+		type: 'log',
+		priority: 'belief',
+		message: 'server rate limit changed',
+		fields: {
+			server: server.id,
+			service: server.service,
+			requestsPerSecond: rateLimit ?? 'none',
+		},
+	});
+}
--- a/packages/steering/src/server-state.ts
+++ b/packages/steering/src/server-state.ts
@@ -47,6 +47,7 @@
 	#ejectedUntil: Milliseconds = 0;
 	#rateLimit: number | undefined;
 	#rateLimitReportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	#rateLimitReceivedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	#reportedRemoteLoad = 0;
 	#reportedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 	/** Hashes of recently handled objects, least recently used first. */
@@ -219,6 +220,11 @@
 		this.#reportedAt = now;
 	}
 
+	/** The server was started again: what it stated before no longer holds. */
+	onRestarted(now: Milliseconds): void {
+		this.#rateLimitReportedAt = now;
+	}
+
 	/** Requests per second that the server takes from all hosts together; undefined: no limit. */
 	get rateLimit(): number | undefined {
 		return this.#rateLimit;
@@ -229,6 +235,11 @@
 		return this.#rateLimitReportedAt;
 	}
 
+	/** When a response to this host last stated the limit, or first omitted it. */
+	get rateLimitReceivedAt(): Milliseconds {
+		return this.#rateLimitReceivedAt;
+	}
+
 	/**
 	 * Applies what the response to a request of this host states; returns whether the
 	 * limit changed.
@@ -241,7 +252,16 @@
 		// A request may have been sent before the server was in need, and be answered later.
 		const isOutdated =
 			requestsPerSecond === undefined && sentAt <= this.#rateLimitReportedAt;
-		return !isOutdated && this.applyRateLimit(requestsPerSecond, now);
+		if (isOutdated) {
+			return false;
+		}
+
+		const isChanged = this.applyRateLimit(requestsPerSecond, now);
+		if (isChanged || requestsPerSecond !== undefined) {
+			this.#rateLimitReceivedAt = now;
+		}
+
+		return isChanged;
 	}
 
 	/** Applies a limit, or its end, as of the given time unless a newer one is known; returns whether it changed. */
--- a/packages/steering/src/server-table.ts
+++ b/packages/steering/src/server-table.ts
@@ -215,7 +215,12 @@
 			state !== undefined && state.server.incarnation !== server.incarnation;
 		if (state === undefined || isRestarted) {
 			state?.onLeft();
-			this.#states.set(server.id, this.#createState(server, now));
+			const created = this.#createState(server, now);
+			this.#states.set(server.id, created);
+			if (isRestarted) {
+				created.onRestarted(now);
+			}
+
 			return isRestarted ? 'restarted' : 'joined';
 		}
 
