Believe no response that does not name its request

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection; clients were told "not run" for what a server had run or was running, or it ran a second time elsewhere. Can it happen here?

With the id of the earlier request the copy is discarded (shown for 503, 429 and 421, in pieces, and between two requests; also at the own front end, which takes no other id: "no-echo" and "crossed" of `answers`). Without an id it was taken for the response to the pending request: a request that runs counted as not run, and so did 421; a copy of a 2xx was delivered. Cause: a missing id was taken for a matching one. Class: the absence of evidence taken as evidence.

Change: a response without an id fails the pending request, unless that was sent without one. It may have run, and its connection is closed. Waiting for a further response instead was ruled out: a server that gives no ids would hold each request until its deadline.

Left: a request that its caller sent without an id, where no response can be told from another.

--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -45,7 +45,8 @@
 /**
  * A connection to a backend server that carries one request at a time. A
  * response with the id of another request is read and discarded, so that it
- * never reaches the wrong caller.
+ * never reaches the wrong caller. One without an id may belong to any request,
+ * so it fails the pending one.
  */
 export class ServerConnection extends ResponseListener {
 	readonly #options: ServerConnectionOptions;
@@ -59,6 +60,7 @@
 	#isClosed = false;
 	#isReusable = true;
 	#isMismatched = false;
+	#isUnidentified = false;
 	#isResponseComplete = false;
 	#idleTimeout = defaultIdleTimeout;
 	#lastUsedAt: Milliseconds;
@@ -150,8 +152,9 @@
 		this.#isMismatched =
 			exchange === undefined ||
 			this.#isResponseComplete ||
-			(echoedId !== undefined && echoedId !== exchange.requestId);
+			echoedId !== exchange.requestId;
 		if (this.#isMismatched) {
+			this.#isUnidentified ||= echoedId === undefined;
 			this.#isReusable = false;
 			return false;
 		}
@@ -207,6 +210,8 @@
 
 		if (this.#isResponseComplete) {
 			this.#complete();
+		} else if (this.#isUnidentified) {
+			this.#terminate('response without the id of its request');
 		}
 	}
 
