Test that a head cut anywhere never becomes a success

Report of another operator: a server stopped in the middle of the head of its answer and closed; clients got a 200 with an empty or short body, framed as whole. Can it happen here?

A raw server stops after each byte of a head and closes, behind a complete response on the same connection: heads with a length, with length 0, chunked, close-delimited and behind an interim response. Platform's front end: the attempt fails as sent, for each byte of four heads (server-connections.test.ts). No safeguard stands alone here: the parsers know no head before its empty line.

`AttemptOptions.forward` names the two fields that are used, so that the test needs no route. No decision changes.

--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -13,7 +13,7 @@
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
 export type AttemptOptions = {
-	readonly forward: Forward;
+	readonly forward: Pick<Forward, 'requestId' | 'attempt'>;
 	readonly response: ServerResponse;
 	readonly body: RequestBody;
 	readonly method: string;
--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -143,6 +143,46 @@
 	});
 });
 
+/** Heads of responses; a server may stop anywhere before their end. */
+const heads = {
+	'with a length': (id: string) =>
+		`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-seal: s\r\ncontent-length: 5\r\n\r\n`,
+	'with chunked encoding': (id: string) =>
+		`HTTP/1.1 200 OK\r\nx-id: ${id}\r\ntransfer-encoding: chunked\r\n\r\n`,
+	'without a length': (id: string) =>
+		`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nconnection: close\r\n\r\n`,
+	'behind an interim response': (id: string) =>
+		'HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\n' +
+		`HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-length: 0\r\n\r\n`,
+} as const;
+
+describe(
+	'a server that stops in the middle of a head',
+	{timeout: 60_000},
+	() => {
+		for (const [name, formatHead] of Object.entries(heads)) {
+			it(`${name} fails the request, wherever it stops`, async () => {
+				for (let length = 1; length < formatHead('2').length; length++) {
+					const {send} = await createFixture(
+						({socket, header}, requestNumber) => {
+							if (requestNumber === 1) {
+								socket.write(formatResponse(header('x-id')));
+							} else {
+								socket.end(formatHead(header('x-id')).slice(0, length));
+							}
+						},
+					);
+					expect(await send('1')).toEqual(completeResponse);
+					expect(await send('2')).toEqual(failedAfterSend);
+					for (const cleanUp of cleanups.splice(0)) {
+						cleanUp();
+					}
+				}
+			});
+		}
+	},
+);
+
 /** Bytes that a faulty server sends again and again until its connection is closed. */
 const endlessBytes = {
 	'a status line': {start: '', repeated: 'x'.repeat(1024)},
