Refuse what comes late in a planned stop, and end the rest with a response

Report of another operator: in a planned stop of one host, in calm, requests that came late in the grace were taken and passed on; at its end they were cut without an answer, among them requests that may not be repeated. Can it happen here?

Cause: after SIGTERM a host stopped accepting connections after 2.5 s, but took requests from open ones as before, with their whole deadline. Idle connections are closed then, though not those that were never used, which Node.js does not count as idle. At the end of the grace all connections were destroyed. Class of fault: an end that is known in advance did not bound the work that was begun before it.

Change: `StopSchedule`. A request that has been read completely later than 2.5 s after the start of the stop (half of the stop timeout, if that is shorter) is refused as not run, with the advice to use another host. The deadline of all others ends 0.4 s before the stop timeout, so that placement starts nothing that cannot end in time, and what a server has not answered by then gets 504 instead of a closed connection. Ruled out: to close unused connections at 2.5 s, as a request may just be on its way there.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -6,6 +6,7 @@
 	type Milliseconds,
 } from '@parsleyvale/shared';
 import {
+	computeAcceptPeriod,
 	createSteering,
 	type SteeringEffect,
 	type SteeringEvent,
@@ -26,8 +27,6 @@
 const tickInterval: Milliseconds = 50;
 /** Sufficient while no request is open, as all other timeouts are longer. */
 const idleTickInterval: Milliseconds = 200;
-/** How long a stopping host keeps accepting connections, until look-up answers that name it have expired. */
-const acceptPeriodAfterStop: Milliseconds = 2500;
 /** A stop completes this long before the host would be killed. */
 const stopMargin: Milliseconds = 250;
 
@@ -169,18 +168,21 @@
 		this.handle({type: 'look-up-arrived', lookUpId, region, failureDomain});
 	}
 
-	/** Stops gracefully: requests already accepted are completed within the stop bound. */
+	/**
+	 * Stops gracefully: requests already accepted are completed within the stop timeout;
+	 * those that arrive late on open connections are refused as not run.
+	 */
 	async stop(): Promise<void> {
 		if (this.#isStopping) {
 			return;
 		}
 
 		this.#isStopping = true;
-		const stopDeadline =
-			this.#clock.now() + this.#options.steering.stopTimeout - stopMargin;
+		const {stopTimeout} = this.#options.steering;
+		const stopDeadline = this.#clock.now() + stopTimeout - stopMargin;
 		this.handle({type: 'stop-requested'});
 		this.#callerServer.startClosing();
-		await sleep(acceptPeriodAfterStop);
+		await sleep(computeAcceptPeriod(stopTimeout));
 		this.#callerServer.stopListening();
 		while (
 			this.#callerServer.openRequestCount > 0 &&
--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -20,13 +20,17 @@
 		this.#split = split;
 	}
 
-	/** Errors: not-configured, no-route, key-missing, key-unknown, keys-not-fresh. */
+	/** Errors: stopping, not-configured, no-route, key-missing, key-unknown, keys-not-fresh. */
 	admit(
 		arrival: SteeringArrival,
 		now: Milliseconds,
 	): Result<LiveRequest, ErrorKind> {
-		const {configuration, isReady, isStopping} = this.#hostState;
-		if (!isReady && !isStopping) {
+		const {configuration, isReady, stopSchedule} = this.#hostState;
+		if (!stopSchedule.isAccepting(now)) {
+			return Result.err(ErrorKind.Stopping);
+		}
+
+		if (!isReady && !stopSchedule.isStopping) {
 			return Result.err(ErrorKind.NotConfigured);
 		}
 
@@ -80,7 +84,10 @@
 			),
 			objectHash: computeHash(createObjectKey(arrival, route)),
 			objectiveDeadline: arrival.arrivedAt + route.latencyObjectiveMs,
-			deadline: arrival.arrivedAt + Math.min(route.timeoutMs, timeLeft),
+			deadline: Math.min(
+				arrival.arrivedAt + Math.min(route.timeoutMs, timeLeft),
+				this.#hostState.stopSchedule.deadline,
+			),
 			priority: customer?.priority ?? route.priority,
 			triedServers: new Set(),
 			possibleRuns: 0,
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -62,7 +62,7 @@
 			this.#onSuspended(context);
 		});
 		kernel.on('stop-requested', (_event, context) => {
-			this.#hostState.isStopping = true;
+			this.#hostState.stopSchedule.start(context.now);
 			log(context, 'stopping', {});
 		});
 		kernel.on('tick', (_event, context) => {
--- a/packages/steering/src/host-state.ts
+++ b/packages/steering/src/host-state.ts
@@ -5,6 +5,7 @@
 import {ServerTable} from './server-table.js';
 import {Members} from './members.js';
 import type {SteeringSettings} from './settings.js';
+import {StopSchedule} from './stop-schedule.js';
 import {StoreOutage} from './store-outage.js';
 
 /** This host's own state, and what it knows from the store and from other hosts. */
@@ -16,13 +17,14 @@
 	readonly requestRate = new RequestRate();
 	/** Whether this host reads from the store itself. */
 	isReading = true;
-	isStopping = false;
 	/** Whether the last call to the store failed. */
 	isStoreUnreachable = false;
 	readonly storeOutage = new StoreOutage();
+	readonly stopSchedule: StopSchedule;
 
 	constructor(readonly settings: SteeringSettings) {
 		this.members = new Members(settings.self.name);
+		this.stopSchedule = new StopSchedule(settings.stopTimeout);
 	}
 
 	/** Whether this host carries a part of the load, rather than an occasional request. */
@@ -34,7 +36,7 @@
 	/** Whether callers may be directed to this host. */
 	get isReady(): boolean {
 		return (
-			!this.isStopping &&
+			!this.stopSchedule.isStopping &&
 			this.configuration.current !== undefined &&
 			this.serverTable.revision >= 0
 		);
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -13,4 +13,5 @@
 } from './event.js';
 export * from './model.js';
 export type {RateTolerance, SteeringSettings} from './settings.js';
+export {computeAcceptPeriod} from './stop-schedule.js';
 export type {SteeringContext, SteeringKernel} from './types.js';
--- a/packages/steering/src/live-request.ts
+++ b/packages/steering/src/live-request.ts
@@ -15,7 +15,7 @@
 	/** When the latency objective is missed. */
 	readonly objectiveDeadline: Milliseconds;
 	/** When the request times out. */
-	readonly deadline: Milliseconds;
+	deadline: Milliseconds;
 	readonly priority: number;
 	/** Servers that an attempt was made at, including unreachable ones. */
 	readonly triedServers: Set<string>;
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -113,6 +113,14 @@
 		}
 	}
 
+	/** Ends the open requests before the host stops, with a response. */
+	onStopRequested(): void {
+		const {deadline} = this.#options.hostState.stopSchedule;
+		for (const request of this.#requests.values()) {
+			request.deadline = Math.min(request.deadline, deadline);
+		}
+	}
+
 	onTick(context: SteeringContext): void {
 		const {now} = context;
 		for (const request of this.#requests.values()) {
@@ -149,7 +157,7 @@
 		}
 
 		if (!this.#shouldQueue(request, failure, context.now)) {
-			this.#refuse(request, failure.kind, context);
+			this.#refuse(request, this.#toRefusalKind(request, failure), context);
 			return;
 		}
 
@@ -157,6 +165,15 @@
 		this.#queue.add(request);
 	}
 
+	/** Another host has room for a request that only lacks time because this one is stopping. */
+	#toRefusalKind({deadline}: LiveRequest, {kind}: PlacementFailure): ErrorKind {
+		const isLimitedByStop =
+			deadline === this.#options.hostState.stopSchedule.deadline;
+		return kind === ErrorKind.NoRoom && isLimitedByStop
+			? ErrorKind.Stopping
+			: kind;
+	}
+
 	#shouldQueue(
 		request: LiveRequest,
 		{kind, timeUntilCached}: PlacementFailure,
--- a/packages/steering/src/requests-plugin.ts
+++ b/packages/steering/src/requests-plugin.ts
@@ -41,6 +41,9 @@
 		kernel.on('fleet-listed', (_event, context) => {
 			lifecycle.dispatchAllWaiting(context);
 		});
+		kernel.on('stop-requested', () => {
+			lifecycle.onStopRequested();
+		});
 		kernel.on('tick', (_event, context) => {
 			lifecycle.onTick(context);
 		});
