Compute shares of rates at most each 50 ms

What callers would see: with 399 servers that all state limits and none of which takes a request at the moment, a choice of server costs 4.8 ms on a fleet of 195 hosts (median of 300, all servers looked at), and waiting requests are tried again each 50 ms.

Cause: the share of each server's bucket was computed for each request from the demand at 194 hosts. Ruled out: the decay of the demand and the look at each server, as the same fleet without limits takes 0.19 ms.

Change: a share is kept for 50 ms; demands are averages over a second.

Measured in one scratch program, medians: 195 hosts with 399 limited servers 4.79 ms before and 0.31 after (p99 11.2 and 5.1); 10 hosts with 24: 0.098 and 0.074. 131 of 131 tests of steering pass.

--- a/packages/steering/src/fleet-rates.ts
+++ b/packages/steering/src/fleet-rates.ts
@@ -6,6 +6,8 @@
 const demandTimeConstant: Milliseconds = second;
 /** Requests per second below which a demand is not reported. */
 const minimumReportedDemand = 0.01;
+/** A share is computed anew after this time, as it takes the demand at all hosts. */
+const shareLifetime: Milliseconds = 50;
 /** Fraction of a rate that is shared by demand; the rest is shared evenly among hosts. */
 const demandWeight = 0.9;
 /** Fraction of the burst that is reserved for the hosts' shares, as counts from other hosts arrive late. */
@@ -44,6 +46,14 @@
 	readonly reportedAt: Milliseconds;
 };
 
+type Share = {
+	/** This host's fraction of the rate. */
+	readonly own: number;
+	/** The fraction of the rate for this host and the other live ones. */
+	readonly live: number;
+	readonly computedAt: Milliseconds;
+};
+
 type Bucket = {
 	limit: RateLimit;
 	readonly createdAt: Milliseconds;
@@ -52,8 +62,7 @@
 	/** Tokens accumulated from this host's share of the rate. */
 	shareTokens: number;
 	refilledAt: Milliseconds;
-	/** This host's share of the rate. */
-	share: number;
+	share: Share;
 	/** Moving average of requests per second at this host. */
 	demand: number;
 	demandAt: Milliseconds;
@@ -286,7 +295,7 @@
 	}: Bucket): Milliseconds {
 		// Other hosts take their part of the fleet's tokens meanwhile.
 		const computeWait = (deficit: number) =>
-			(Math.max(0, deficit) / (ratePerSecond * share)) * second;
+			(Math.max(0, deficit) / (ratePerSecond * share.own)) * second;
 		const wait = computeWait(1 - Math.min(tokens, shareTokens));
 		const jitter = 1 + retryJitter * this.#options.random();
 		return Math.min(
@@ -324,19 +333,19 @@
 		const {name, ratePerSecond, burst} = limit;
 		const bucket = this.#buckets.get(name) ?? this.#createBucket(limit, now);
 		decayDemand(bucket, now);
-		const {share, liveFraction} = this.#computeShare(bucket, now);
+		if (now - bucket.share.computedAt >= shareLifetime) {
+			bucket.share = this.#computeShare(bucket, now);
+		}
+
+		const {own, live} = bucket.share;
 		const refill = (ratePerSecond * (now - bucket.refilledAt)) / second;
 		bucket.limit = limit;
-		bucket.tokens = Math.min(
-			burst * liveFraction,
-			bucket.tokens + refill * liveFraction,
-		);
+		bucket.tokens = Math.min(burst * live, bucket.tokens + refill * live);
 		bucket.shareTokens = Math.min(
 			maximumShareTokens,
-			bucket.shareTokens + refill * share,
+			bucket.shareTokens + refill * own,
 		);
 		bucket.refilledAt = now;
-		bucket.share = share;
 		this.#buckets.set(name, bucket);
 		return bucket;
 	}
@@ -348,7 +357,7 @@
 			tokens: this.computeInitialTokens(limit),
 			shareTokens: 0,
 			refilledAt: now,
-			share: 1,
+			share: {own: 1, live: 1, computedAt: Number.NEGATIVE_INFINITY},
 			demand: 0,
 			demandAt: now,
 			admitted: 0,
@@ -357,11 +366,7 @@
 		};
 	}
 
-	/** Computes this host's share of the rate, and the fraction of the rate for this host and the other live ones. */
-	#computeShare(
-		{limit, demand}: Bucket,
-		now: Milliseconds,
-	): {readonly share: number; readonly liveFraction: number} {
+	#computeShare({limit, demand}: Bucket, now: Milliseconds): Share {
 		const {members} = this.#options;
 		const live = members.listLive(now);
 		const shareHolderCount =
@@ -376,8 +381,9 @@
 		const liveFraction = (live.length + 1) * evenShare;
 		const demandShare = sum > 0 ? (demand / sum) * liveFraction : evenShare;
 		return {
-			share: demandWeight * demandShare + (1 - demandWeight) * evenShare,
-			liveFraction,
+			own: demandWeight * demandShare + (1 - demandWeight) * evenShare,
+			live: liveFraction,
+			computedAt: now,
 		};
 	}
 }
