Split a server's limit among as many hosts as it has tokens for

Class of fault: a part of a sum that is rounded up to a whole at each host.

Change: at most half as many hosts as the burst has tokens share a limit, selected by reported demand with weighted rendezvous hashing; without demand, some of the active hosts. Only they take tokens. A host's own demand counts as the others were told it, so that all compute with the same numbers.

--- a/packages/steering/__tests__/server-rate-limits.test.ts
+++ b/packages/steering/__tests__/server-rate-limits.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import type {Milliseconds} from '@parsleyvale/shared';
 import type {SteeringEffect} from '../src/index.js';
 import {createConfiguration, createRoute} from './support/configuration.js';
 import {FleetSimulation, sendRequests} from './support/fleet-simulation.js';
@@ -60,13 +61,26 @@
 /** A host is bound by a limit from this time after it received it. */
 const informedAfter = 500;
 
+type Period = {
+	readonly from: Milliseconds;
+	readonly to: Milliseconds;
+	/** Requests per second. */
+	readonly perSecond: number;
+};
+
 type LoadOptions = {
 	readonly seed: number;
 	readonly hostsPerRegion?: number;
 	readonly lossRate?: number;
 	/** Interval at which one host after the other is restarted; 0: none is. */
 	readonly restartInterval?: number;
+	/** Requests per second until the end. */
 	readonly perSecond?: number;
+	/** Replaces `perSecond`. */
+	readonly periods?: readonly Period[];
+	readonly until?: Milliseconds;
+	/** Lowest limit, and the width of the range above it. */
+	readonly limits?: readonly [lowest: number, range: number];
 	/** When the servers no longer state a limit. */
 	readonly statedUntil?: number;
 };
@@ -82,7 +96,10 @@
 	lossRate = 0,
 	restartInterval = 0,
 	perSecond = 110,
-	statedUntil = limitedUntil,
+	until = limitedUntil,
+	periods = [{from: 1000, to: until, perSecond}],
+	limits: [lowest, range] = [2, 3],
+	statedUntil = until,
 }: LoadOptions): FleetSimulation {
 	const simulation = new FleetSimulation({
 		regions,
@@ -97,7 +114,7 @@
 		lossRate,
 		seed,
 	});
-	for (let at = 500; at < limitedUntil + 1000; at += 500) {
+	for (let at = 500; at < until + 1000; at += 500) {
 		simulation.schedule(at, () => {
 			simulation.confirmConfiguration();
 		});
@@ -108,10 +125,10 @@
 	);
 	simulation.schedule(limitedFrom, () => {
 		for (const [, server] of limitedServers) {
-			server.rateLimit = 2 + 3 * simulation.random();
+			server.rateLimit = lowest + range * simulation.random();
 		}
 	});
-	if (statedUntil < limitedUntil) {
+	if (statedUntil < until) {
 		simulation.schedule(statedUntil, () => {
 			for (const [, server] of limitedServers) {
 				server.rateLimit = undefined;
@@ -120,7 +137,7 @@
 	}
 
 	if (restartInterval > 0) {
-		for (let at = 8000; at < limitedUntil; at += restartInterval) {
+		for (let at = 8000; at < until; at += restartInterval) {
 			simulation.schedule(at, () => {
 				simulation.restartHost(simulation.hosts[0]!, 1000);
 			});
@@ -128,11 +145,11 @@
 	}
 
 	const stream = {path: '/read/', key: 'key', objects: 120, timeLeft: 4000};
-	sendRequests(simulation, regions, [{...stream, perSecond}], {
-		from: 1000,
-		to: limitedUntil,
-	});
-	simulation.runUntil(limitedUntil);
+	for (const {from, to, perSecond} of periods) {
+		sendRequests(simulation, regions, [{...stream, perSecond}], {from, to});
+	}
+
+	simulation.runUntil(until);
 	return simulation;
 }
 
@@ -214,6 +231,24 @@
 		expect(listExceeded(simulation)).toEqual([]);
 	});
 
+	for (const hostsPerRegion of [3, 10]) {
+		it(`when requests come to ${3 * hostsPerRegion} hosts at once after a calm time`, () => {
+			const until = 34_000;
+			const simulation = runLimitedLoad({
+				seed: 1,
+				hostsPerRegion,
+				limits: [0.5, 2.5],
+				until,
+				periods: [
+					{from: 1000, to: 12_000, perSecond: 60},
+					{from: 12_000, to: 25_000, perSecond: 3},
+					{from: 25_000, to: until, perSecond: 300},
+				],
+			});
+			expect(listExceeded(simulation)).toEqual([]);
+		});
+	}
+
 	it('until it no longer states one', () => {
 		const statedUntil = 15_000;
 		const {arrivals} = runLimitedLoad({seed: 7, perSecond: 250, statedUntil});
--- a/packages/steering/src/customer-rates.ts
+++ b/packages/steering/src/customer-rates.ts
@@ -1,13 +1,21 @@
-import {second} from '@parsleyvale/shared';
+import {second, type Milliseconds} from '@parsleyvale/shared';
 import type {Digest} from './digest.js';
 import {
 	FleetRates,
+	type Demand,
 	type FleetRatesOptions,
 	type RateCounts,
 	type RateLimit,
 } from './fleet-rates.js';
 import type {RateTolerance} from './settings.js';
 
+/** Time constant of the demand average: two intervals between digests to all hosts. */
+const demandTimeConstant: Milliseconds = second;
+/** Fraction of a rate that is shared by demand; the rest is shared evenly among hosts. */
+const demandWeight = 0.9;
+/** Tokens that a host's share accumulates: enough for two requests in a row. */
+const maximumShareTokens = 2;
+
 export type CustomerRatesOptions = FleetRatesOptions & {
 	/** Whether buckets start full; after a restart, earlier admissions are not known. */
 	readonly isFirstStart: boolean;
@@ -25,6 +33,10 @@
 		this.#tolerance = options.tolerance;
 	}
 
+	protected override get demandTimeConstant(): Milliseconds {
+		return demandTimeConstant;
+	}
+
 	protected override get maximumReportsInTransit(): number {
 		return 3;
 	}
@@ -33,6 +45,23 @@
 		return false;
 	}
 
+	protected override computeOwnShare(
+		_limit: RateLimit,
+		{own, others, liveFraction, evenShare}: Demand,
+	): number {
+		let sum = own;
+		for (const {demand} of others) {
+			sum += demand;
+		}
+
+		const demandShare = sum > 0 ? (own / sum) * liveFraction : evenShare;
+		return demandWeight * demandShare + (1 - demandWeight) * evenShare;
+	}
+
+	protected override computeMaximumShareTokens(): number {
+		return maximumShareTokens;
+	}
+
 	protected override getCounts({customers}: Digest): RateCounts | undefined {
 		return customers;
 	}
--- a/packages/steering/src/digest-plugin.ts
+++ b/packages/steering/src/digest-plugin.ts
@@ -213,7 +213,7 @@
 		if (!isActive) {
 			const digest = {...this.#createDigest(now), ...this.#createCounts(now)};
 			this.#send(this.#receivers.listActive(now), digest, context);
-			this.#markCountsReported();
+			this.#markCountsReported({isPartial: false});
 		}
 	}
 
@@ -238,7 +238,7 @@
 		this.#lastSentInRegion = context.now;
 		this.#lastSentToActive = context.now;
 		this.#send(to, this.#createFullDigest(context.now), context);
-		this.#markCountsReported();
+		this.#markCountsReported({isPartial: false});
 	}
 
 	/** Sends the numbers that have changed, which is much less than a full digest. */
@@ -252,7 +252,7 @@
 			areCountsPartial: true,
 		};
 		this.#send(to, digest, context);
-		this.#markCountsReported();
+		this.#markCountsReported({isPartial: true});
 	}
 
 	#createCounts(
@@ -266,9 +266,9 @@
 		};
 	}
 
-	#markCountsReported(): void {
-		this.#limits.rates.markReported();
-		this.#limits.serverRates.markReported();
+	#markCountsReported({isPartial}: {readonly isPartial: boolean}): void {
+		this.#limits.rates.markReported({isPartial});
+		this.#limits.serverRates.markReported({isPartial});
 	}
 
 	#sendShort(to: readonly Member[], context: SteeringContext): void {
--- a/packages/steering/src/fleet-rates.ts
+++ b/packages/steering/src/fleet-rates.ts
@@ -1,15 +1,11 @@
 import {second, type Milliseconds} from '@parsleyvale/shared';
 import type {Digest} from './digest.js';
-import type {Members} from './members.js';
+import type {Member, Members} from './members.js';
 
-/** Time constant of the demand average: two intervals between digests to all hosts. */
-const demandTimeConstant: Milliseconds = second;
 /** Requests per second below which a demand is not reported. */
 const minimumReportedDemand = 0.01;
-/** A share is computed anew after this time, as it takes the demand at all hosts. */
-const shareLifetime: Milliseconds = 50;
-/** Fraction of a rate that is shared by demand; the rest is shared evenly among hosts. */
-const demandWeight = 0.9;
+/** A share is computed anew this often within the time constant of the demand, as it takes the demand at all hosts. */
+const sharesPerDemandTimeConstant = 20;
 /** Fraction of the burst that is reserved for the hosts' shares, as counts from other hosts arrive late. */
 const reservedBurstFraction = 0.4;
 /** Below this fraction of the burst, counts are reported without waiting for the next digest. */
@@ -27,8 +23,6 @@
 const maximumRetryAfter: Milliseconds = 3 * second;
 /** Fraction by which the delay is extended at random, so that callers do not return at once. */
 const retryJitter = 0.5;
-/** Tokens that a host's share accumulates: enough for two requests in a row. */
-const maximumShareTokens = 2;
 
 /** A rate that all hosts together may use, and the burst beyond it. */
 export type RateLimit = {
@@ -46,6 +40,23 @@
 	readonly reportedAt: Milliseconds;
 };
 
+/** Demand for one limit, in requests per second, and how the rate may be shared. */
+export type Demand = {
+	/** Moving average at this host. */
+	readonly own: number;
+	/** The same, as the other hosts were last told. */
+	readonly reported: number;
+	/** The other live hosts, with their demand as last reported. */
+	readonly others: ReadonlyArray<{
+		readonly member: Member;
+		readonly demand: number;
+	}>;
+	/** The fraction of the rate for this host and the other live ones. */
+	readonly liveFraction: number;
+	/** The fraction for each host if all have the same. */
+	readonly evenShare: number;
+};
+
 type Share = {
 	/** This host's fraction of the rate. */
 	readonly own: number;
@@ -65,6 +76,8 @@
 	share: Share;
 	/** Moving average of requests per second at this host. */
 	demand: number;
+	/** Value of `demand` that other hosts were last sent. */
+	reportedDemand: number;
 	demandAt: Milliseconds;
 	/** Tokens taken at this host, less refunds. */
 	admitted: number;
@@ -96,6 +109,9 @@
 		this.#options = options;
 	}
 
+	/** Time constant of the moving average of the demand. */
+	protected abstract get demandTimeConstant(): Milliseconds;
+
 	/** Reports that may be due, in transit or lost at the same time. */
 	protected abstract get maximumReportsInTransit(): number;
 
@@ -112,7 +128,7 @@
 		}
 
 		const bucket = this.#refill(limit, now);
-		addDemand(bucket);
+		this.#addDemand(bucket);
 		if (this.#isAvailable(bucket, now)) {
 			bucket.tokens -= 1;
 			bucket.shareTokens = Math.max(0, bucket.shareTokens - 1);
@@ -212,10 +228,16 @@
 		);
 	}
 
-	/** Records that all active hosts were sent the current counts. */
-	markReported(): void {
+	/**
+	 * Records that all active hosts were sent the current counts and demand; a partial
+	 * report has those limits alone whose number has changed.
+	 */
+	markReported({isPartial}: {readonly isPartial: boolean}): void {
 		for (const bucket of this.#buckets.values()) {
-			bucket.reported = bucket.admitted;
+			if (!isPartial || bucket.reported !== bucket.admitted) {
+				bucket.reported = bucket.admitted;
+				bucket.reportedDemand = roundToTenths(bucket.demand);
+			}
 		}
 	}
 
@@ -238,7 +260,7 @@
 
 	/** Counts a request that was not admitted for lack of a token. */
 	protected addUnmetDemand(limit: RateLimit, now: Milliseconds): void {
-		addDemand(this.#refill(limit, now));
+		this.#addDemand(this.#refill(limit, now));
 	}
 
 	/** Removes the buckets of limits that no longer exist. */
@@ -253,13 +275,23 @@
 	/** Tokens of a new bucket. */
 	protected abstract computeInitialTokens(limit: RateLimit): number;
 
+	/** Computes this host's fraction of the rate; 0: it may take no tokens. */
+	protected abstract computeOwnShare(limit: RateLimit, demand: Demand): number;
+
+	/** Tokens that this host's share accumulates at most. */
+	protected abstract computeMaximumShareTokens(
+		limit: RateLimit,
+		ownShare: number,
+	): number;
+
 	/** Returns the counts that another host reports. */
 	protected abstract getCounts(digest: Digest): RateCounts | undefined;
 
 	#isAvailable(bucket: Bucket, now: Milliseconds): boolean {
-		const {limit, tokens, shareTokens, admitted, reported} = bucket;
+		const {limit, tokens, share, shareTokens, admitted, reported} = bucket;
 		const {burst} = limit;
 		const hasUnreservedTokens =
+			share.own > 0 &&
 			tokens > burst * reservedBurstFraction &&
 			admitted - reported < this.#computeMaximumUnreported(burst) &&
 			(!this.areCountsComplete || this.#isSettled(bucket, now));
@@ -310,7 +342,7 @@
 	): RateCounts {
 		const summary: RateCounts = {};
 		for (const [name, bucket] of this.#buckets) {
-			decayDemand(bucket, now);
+			this.#decayDemand(bucket, now);
 			if (isIncluded(bucket)) {
 				summary[name] = [roundToTenths(bucket.demand), bucket.admitted];
 			}
@@ -332,7 +364,8 @@
 	#refill(limit: RateLimit, now: Milliseconds): Bucket {
 		const {name, ratePerSecond, burst} = limit;
 		const bucket = this.#buckets.get(name) ?? this.#createBucket(limit, now);
-		decayDemand(bucket, now);
+		this.#decayDemand(bucket, now);
+		const shareLifetime = this.demandTimeConstant / sharesPerDemandTimeConstant;
 		if (now - bucket.share.computedAt >= shareLifetime) {
 			bucket.share = this.#computeShare(bucket, now);
 		}
@@ -342,7 +375,7 @@
 		bucket.limit = limit;
 		bucket.tokens = Math.min(burst * live, bucket.tokens + refill * live);
 		bucket.shareTokens = Math.min(
-			maximumShareTokens,
+			this.computeMaximumShareTokens(limit, own),
 			bucket.shareTokens + refill * own,
 		);
 		bucket.refilledAt = now;
@@ -359,6 +392,7 @@
 			refilledAt: now,
 			share: {own: 1, live: 1, computedAt: Number.NEGATIVE_INFINITY},
 			demand: 0,
+			reportedDemand: 0,
 			demandAt: now,
 			admitted: 0,
 			reported: 0,
@@ -366,25 +400,38 @@
 		};
 	}
 
-	#computeShare({limit, demand}: Bucket, now: Milliseconds): Share {
+	#computeShare(
+		{limit, demand, reportedDemand}: Bucket,
+		now: Milliseconds,
+	): Share {
 		const {members} = this.#options;
 		const live = members.listLive(now);
 		const shareHolderCount =
 			Math.max(live.length, members.listShareHolders(now).length) + 1;
-		let sum = demand;
-		for (const {digest} of live) {
-			const counts = digest && this.getCounts(digest);
-			sum += counts?.[limit.name]?.[0] ?? 0;
-		}
-
 		const evenShare = 1 / shareHolderCount;
 		const liveFraction = (live.length + 1) * evenShare;
-		const demandShare = sum > 0 ? (demand / sum) * liveFraction : evenShare;
-		return {
-			own: demandWeight * demandShare + (1 - demandWeight) * evenShare,
-			live: liveFraction,
-			computedAt: now,
-		};
+		const own = this.computeOwnShare(limit, {
+			own: demand,
+			reported: reportedDemand,
+			others: live.map((member) => {
+				const counts = member.digest && this.getCounts(member.digest);
+				return {member, demand: counts?.[limit.name]?.[0] ?? 0};
+			}),
+			liveFraction,
+			evenShare,
+		});
+		return {own, live: liveFraction, computedAt: now};
+	}
+
+	/** Adds one request to the moving average. */
+	#addDemand(bucket: Bucket): void {
+		bucket.demand += second / this.demandTimeConstant;
+	}
+
+	#decayDemand(bucket: Bucket, now: Milliseconds): void {
+		const elapsed = now - bucket.demandAt;
+		bucket.demand *= Math.exp(-elapsed / this.demandTimeConstant);
+		bucket.demandAt = now;
 	}
 }
 
@@ -407,16 +454,6 @@
 	return Math.max(recent, admissions - paidByRefill);
 }
 
-/** Adds one request to the moving average. */
-function addDemand(bucket: Bucket): void {
-	bucket.demand += second / demandTimeConstant;
-}
-
-function decayDemand(bucket: Bucket, now: Milliseconds): void {
-	bucket.demand *= Math.exp(-(now - bucket.demandAt) / demandTimeConstant);
-	bucket.demandAt = now;
-}
-
 function roundToTenths(value: number): number {
 	return Math.round(value * 10) / 10;
 }
--- a/packages/steering/src/limits-plugin.ts
+++ b/packages/steering/src/limits-plugin.ts
@@ -26,6 +26,7 @@
 			random: settings.random,
 		});
 		const serverRates = new ServerRates({
+			self: settings.self.name,
 			members,
 			serverTable,
 			random: settings.random,
--- a/packages/steering/src/server-rates.ts
+++ b/packages/steering/src/server-rates.ts
@@ -2,10 +2,12 @@
 import type {Digest} from './digest.js';
 import {
 	FleetRates,
+	type Demand,
 	type FleetRatesOptions,
 	type RateCounts,
 	type RateLimit,
 } from './fleet-rates.js';
+import {selectHolders, type HolderCandidate} from './limit-holders.js';
 import type {ServerState} from './server-state.js';
 import type {ServerTable} from './server-table.js';
 
@@ -14,23 +16,33 @@
  * tells when a limit ends.
  */
 const minimumRate = 0.25;
+/** Time constant of the demand average: a limit allows a host few requests a second. */
+const demandTimeConstant: Milliseconds = 4 * second;
 /** A server may get the requests of this time, and the minimum burst, in a row after it got fewer. */
 const burstDuration: Milliseconds = second;
 const minimumBurst = 2;
 
 export type ServerRatesOptions = FleetRatesOptions & {
+	/** Name of this host. */
+	readonly self: string;
 	readonly serverTable: ServerTable;
 };
 
 /** Enforces the limits that servers state on the rate of requests from all hosts together. */
 export class ServerRates extends FleetRates {
+	readonly #self: string;
 	readonly #serverTable: ServerTable;
 
 	constructor(options: ServerRatesOptions) {
 		super(options);
+		this.#self = options.self;
 		this.#serverTable = options.serverTable;
 	}
 
+	protected override get demandTimeConstant(): Milliseconds {
+		return demandTimeConstant;
+	}
+
 	/** A server's limit allows few requests, so that a host reports each one before it takes the next. */
 	protected override get maximumReportsInTransit(): number {
 		return 1;
@@ -92,6 +104,42 @@
 		return limits;
 	}
 
+	/**
+	 * Splits the limit by demand among its holders. This host's demand counts as
+	 * reported, so that all hosts compute with the same numbers.
+	 */
+	protected override computeOwnShare(
+		limit: RateLimit,
+		{reported, others, liveFraction}: Demand,
+	): number {
+		const self = {name: this.#self, demand: reported, isActive: true};
+		const candidates: HolderCandidate[] = others.map(
+			({member: {host, digest}, demand}) => ({
+				name: host.name,
+				demand,
+				isActive: (digest?.requestsPerSecond ?? 0) > 0,
+			}),
+		);
+		const holders = selectHolders(limit, [self, ...candidates]);
+		if (!holders.includes(self)) {
+			return 0;
+		}
+
+		let sum = 0;
+		for (const {demand} of holders) {
+			sum += demand;
+		}
+
+		return (sum > 0 ? reported / sum : 1 / holders.length) * liveFraction;
+	}
+
+	protected override computeMaximumShareTokens(
+		{burst}: RateLimit,
+		ownShare: number,
+	): number {
+		return ownShare > 0 ? Math.max(1, ownShare * burst) : 0;
+	}
+
 	protected override getCounts({servers}: Digest): RateCounts | undefined {
 		return servers;
 	}
