End the requests that are open at the end of a planned stop, at the own front end

On the own front end a request whose server was silent got nothing: after SIGTERM with `stopTimeoutMs` 1,500 the process was still there 20 s later, the request's own deadline of 15 s had passed unanswered, and only a kill ended both.

Cause: at the end of the wait the daemon stopped its ticks, which end requests at their deadlines, and then waited for the open connections without a bound. Ruled out: late requests, which were refused as not run before, too.

Change: `intake-closed` carries the time at which open requests end; it is 0.4 s before the stop timeout. They get what a passed deadline gets: 504, or a refusal as not run if no server had them.

--- a/packages/acceptance/src/sample.ts
+++ b/packages/acceptance/src/sample.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import type {Configuration} from '@parsleyvale/shared';
+import type {Configuration, Settings} from '@parsleyvale/shared';
 import type {Child} from './child.js';
 import type {Fleet, Host, ServerReadyMessage} from './fleet.js';
 
@@ -121,6 +121,7 @@
 export async function startSample(
 	fleet: Fleet,
 	serversPerRegion = 2,
+	overrides: Partial<Settings> = {},
 ): Promise<Sample> {
 	await fleet.startStore();
 	const servers = await Promise.all(
@@ -137,12 +138,15 @@
 	);
 	const hosts = await Promise.all(
 		sampleRegions.map(async (region) =>
-			fleet.startHost({
-				name: `${region}-a-1`,
-				region,
-				failureDomain: `${region}-a`,
-				address: '127.0.0.1',
-			}),
+			fleet.startHost(
+				{
+					name: `${region}-a-1`,
+					region,
+					failureDomain: `${region}-a`,
+					address: '127.0.0.1',
+				},
+				overrides,
+			),
 		),
 	);
 	const configuration = toSampleConfiguration(servers);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -46,6 +46,8 @@
 import {StoreAdapter} from './store-adapter.js';
 
 const tickInterval: Milliseconds = 10;
+/** Open requests end this long before the stop timeout, so that their responses can be sent. */
+const responseMargin: Milliseconds = 400;
 const logLevels = {error: 0, warn: 1, info: 3, debug: 4} as const;
 
 /** Incarnation of a started daemon and the ports that it listens on. */
@@ -144,7 +146,8 @@
 
 	/**
 	 * Stops gracefully. New requests are accepted until the look-up answers that
-	 * name this host have expired; running requests are not cut off.
+	 * name this host have expired; open ones end with a response before the stop
+	 * timeout.
 	 */
 	async stop(): Promise<void> {
 		if (this.#isStopping) {
@@ -156,8 +159,12 @@
 		this.#driver.handle({type: 'stop-requested'});
 		this.#callerServer.stop();
 		await sleep(this.#settings.lookUpLifetimeMs);
-		this.#driver.handle({type: 'intake-closed'});
-		await this.#waitUntilIdle();
+		const stopDeadline = this.#clock.now() + this.#settings.stopTimeoutMs;
+		this.#driver.handle({
+			type: 'intake-closed',
+			deadline: stopDeadline - responseMargin,
+		});
+		await this.#waitUntilIdle(stopDeadline);
 		await this.close();
 		this.#log.info('stopped');
 	}
@@ -272,8 +279,7 @@
 		);
 	}
 
-	async #waitUntilIdle(): Promise<void> {
-		const stopDeadline = this.#clock.now() + this.#settings.stopTimeoutMs;
+	async #waitUntilIdle(stopDeadline: Milliseconds): Promise<void> {
 		while (
 			this.#kernel.isBusy(this.#clock.now()) &&
 			this.#clock.now() < stopDeadline
--- a/packages/kernel/src/event.ts
+++ b/packages/kernel/src/event.ts
@@ -90,7 +90,11 @@
  * All look-up answers that name this host have expired; it stops accepting
  * requests.
  */
-export type IntakeClosed = {readonly type: 'intake-closed'};
+export type IntakeClosed = {
+	readonly type: 'intake-closed';
+	/** When open requests end at the latest; undefined: each at its own deadline. */
+	readonly deadline?: Milliseconds;
+};
 
 /** The process of an entry host that sent a message. */
 export type PeerIdentity = {
--- a/packages/requests/src/live-request.ts
+++ b/packages/requests/src/live-request.ts
@@ -23,7 +23,8 @@
 	readonly arrivedAt: Milliseconds;
 	readonly route: Route;
 	readonly customer: string | undefined;
-	readonly deadline: Milliseconds;
+	/** Moved forward if the host stops earlier. */
+	deadline: Milliseconds;
 	/** Names of the servers that earlier attempts were sent to. */
 	readonly triedServers: string[] = [];
 	stage: RequestStage = 'rate';
--- a/packages/requests/src/request-lifecycle.ts
+++ b/packages/requests/src/request-lifecycle.ts
@@ -185,8 +185,12 @@
 		this.#placement.serveAll(context);
 	}
 
-	onIntakeClosed(): void {
+	/** Refuses further requests, and ends the open ones with a response before the host stops. */
+	onIntakeClosed(deadline = Number.POSITIVE_INFINITY): void {
 		this.#isStopping = true;
+		for (const request of this.#requests.values()) {
+			request.deadline = Math.min(request.deadline, deadline);
+		}
 	}
 
 	#isCurrent(request: LiveRequest, event: AttemptEnded): boolean {
--- a/packages/requests/src/requests-plugin.ts
+++ b/packages/requests/src/requests-plugin.ts
@@ -68,8 +68,8 @@
 		kernel.on('tick', (_event, context) => {
 			lifecycle.onTick(context);
 		});
-		kernel.on('intake-closed', () => {
-			lifecycle.onIntakeClosed();
+		kernel.on('intake-closed', ({deadline}) => {
+			lifecycle.onIntakeClosed(deadline);
 		});
 	}
 }
