Read limits of servers with any number of digits, and log those that are not readable

What callers saw: nothing; a server that stated its limit with more than nine decimals, as a program that prints a floating-point number does, got as many requests as without one (LIMIT).

Cause: the header was read by a pattern of at most nine digits on each side of the point; anything else "says nothing" and was dropped without a line. Class of fault: input that is narrower than what its writers may send. Ruled out: that the header is not read (whole-path passes), and the shares of the hosts (no host knew of a limit).

Change: any number of digits that comes to a finite number. What is no number is ignored as before, and a line `server rate limit not readable` says so.

--- a/packages/entry/__tests__/attempt.test.ts
+++ b/packages/entry/__tests__/attempt.test.ts
@@ -47,6 +47,9 @@
 		['12', 12],
 		['0', 0],
 		['0.25', 0.25],
+		['4.943572345234532', 4.943_572_345_234_532],
+		['0.30000000000000004', 0.1 + 0.2],
+		['0000000012.5', 12.5],
 	];
 	for (const [text, requestsPerSecond] of limits) {
 		it(`is read from "${text}"`, () => {
@@ -56,7 +59,17 @@
 		});
 	}
 
-	for (const text of ['', '-1', '1e3', 'NaN', '4,9', '4.', '.5', '5 6']) {
+	for (const text of [
+		'',
+		'-1',
+		'1e3',
+		'9'.repeat(400),
+		'NaN',
+		'4,9',
+		'4.',
+		'.5',
+		'5 6',
+	]) {
 		it(`is not read from "${text}", which does not end it either`, () => {
 			expect(receive(200, ['X-Limit', text]).rateLimit).toEqual(undefined);
 		});
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -184,7 +184,7 @@
 		: {running: Number(match[1]), waiting: Number(match[2])};
 }
 
-/** Parses the header with a server's rate limit; a missing one means no limit, and one that is no number says nothing. */
+/** Parses the header with a server's rate limit; a missing one means no limit, and one that is no number says nothing. It may have any number of digits. */
 function parseRateLimit(
 	text: string | undefined,
 ): ReportedRateLimit | undefined {
@@ -192,7 +192,8 @@
 		return {requestsPerSecond: undefined};
 	}
 
-	return /^\d{1,9}(?:\.\d{1,9})?$/.test(text)
-		? {requestsPerSecond: Number(text)}
-		: undefined;
+	const requestsPerSecond = /^\d+(?:\.\d+)?$/.test(text)
+		? Number(text)
+		: Number.NaN;
+	return Number.isFinite(requestsPerSecond) ? {requestsPerSecond} : undefined;
 }
--- a/packages/steering/__tests__/server-rate-limits.test.ts
+++ b/packages/steering/__tests__/server-rate-limits.test.ts
@@ -39,6 +39,23 @@
 		expect(logged).toEqual([[], [20], [], [10], ['none'], []]);
 	});
 
+	it('is kept, and a line is logged, if an answer states one that is not readable', () => {
+		const session = new KernelSession();
+		session.start([createServer({})]);
+		answerWithLimit(session, session.send().id, 20);
+		// Refused, as the first tokens of a limit come with time.
+		session.send();
+		session.wait(500);
+		const {id} = session.send();
+		const effects = session.endAttempt(id, 1, {rateLimit: undefined});
+		const lines = effects.flatMap((effect) =>
+			effect.type === 'log' && effect.message.includes('rate limit')
+				? [effect.message, effect.fields.requestsPerSecond]
+				: [],
+		);
+		expect(lines).toEqual(['server rate limit not readable', 20]);
+	});
+
 	it('is not ended by the answer to a request that was sent before it was stated', () => {
 		const session = new KernelSession();
 		session.start([createServer({})]);
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -14,6 +14,7 @@
 import {computeRetryParts} from './repeat-budget.js';
 import {
 	logRateLimitChange,
+	logUnreadableRateLimit,
 	RequestLog,
 	type ArrivalRefusal,
 } from './request-log.js';
@@ -227,13 +228,16 @@
 
 	#applyRateLimit(
 		{state, inFlightRequest}: Placement,
-		{rateLimit}: SteeringAttemptEnded,
+		{outcome, rateLimit}: SteeringAttemptEnded,
 		context: SteeringContext,
 	): void {
-		const isChanged =
-			rateLimit !== undefined &&
-			state.onRateLimitReported(rateLimit, inFlightRequest, context.now);
-		if (isChanged) {
+		if (rateLimit === undefined) {
+			if (outcome === 'answered' || outcome === 'not-run') {
+				logUnreadableRateLimit(state, context);
+			}
+		} else if (
+			state.onRateLimitReported(rateLimit, inFlightRequest, context.now)
+		) {
 			logRateLimitChange(state, context);
 		}
 	}
--- a/packages/steering/src/request-log.ts
+++ b/packages/steering/src/request-log.ts
@@ -155,3 +155,20 @@
 		},
 	});
 }
+
+/** Logs that a response states a rate limit that is no number, and so is ignored. */
+export function logUnreadableRateLimit(
+	{server, rateLimit}: ServerState,
+	context: SteeringContext,
+): void {
+	context.emit({
+		type: 'log',
+		priority: 'belief',
+		message: 'server rate limit not readable',
+		fields: {
+			server: server.id,
+			service: server.service,
+			requestsPerSecond: rateLimit ?? 'none',
+		},
+	});
+}
