Let the soak's servers state limits on their rate, and check them

Change: every second server states 2 to 6 requests a second for most of a run, beside the faults; these come from random numbers of their own, so that the faults of earlier seeds stay the same. The oracle counts the requests of daemons that had passed on the limit half a second before and had no fault, in windows of 4 s. `oracle.test.ts`: a record beyond the limit is reported, and is not if its daemon was restarted.

--- a/packages/soak/__tests__/oracle.test.ts
+++ b/packages/soak/__tests__/oracle.test.ts
@@ -27,6 +27,7 @@
 		revokedAt: new Map(),
 		drainStartedAt: new Map(),
 		evacuations: [],
+		statedLimits: [],
 		evacuatedServers: new Set(),
 		faults: [],
 		allRestartedAt: [],
@@ -141,6 +142,40 @@
 		expect(listBrokenGuarantees({executions: executions.slice(1)})).toEqual([]);
 	});
 
+	it('detects a server that gets more requests than it states, unless the daemon was restarted', () => {
+		const requests = Array.from({length: 19}, (_, index) => ({
+			id: `request-${index}`,
+			at: 20_000 + index * 200,
+		}));
+		const history = {
+			records: requests.map(({id, at}) =>
+				createRecord({
+					id,
+					sentAt: at,
+					endedAt: at + 20,
+					body: createResponseBody(id),
+				}),
+			),
+			executions: requests.map(({id, at}) => ({
+				...execution,
+				requestId: id,
+				at,
+			})),
+			statedLimits: [{server: 'i-1', perSecond: 1.5, from: 17_000, to: 25_000}],
+		};
+		expect(listBrokenGuarantees(history)).toEqual([
+			'servers get no more requests than they state',
+		]);
+		const faults = [
+			{kind: 'daemon-stop', target: 'front-0', from: 20_500, to: 23_000},
+		];
+		expect(listBrokenGuarantees({...history, faults})).toEqual([]);
+		const others = [{...faults[0]!, target: 'front-1'}];
+		expect(listBrokenGuarantees({...history, faults: others})).toEqual([
+			'servers get no more requests than they state',
+		]);
+	});
+
 	it('detects a request interrupted by a planned stop', () => {
 		const records = [
 			createRecord({status: undefined, body: '', failure: 'ECONNRESET'}),
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -2,7 +2,7 @@
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
 import {evacuatedFailureDomain, unlimitedKeys} from './deployment.js';
 import type {Fleet} from './fleet.js';
-import type {RunHistory} from './oracle.js';
+import type {RunHistory, StatedLimit} from './oracle.js';
 import type {Fault} from './plan.js';
 
 /** An entry expires after three missed heartbeats of 1.5 s. */
@@ -19,6 +19,7 @@
 	readonly faults: Array<RunHistory['faults'][number]> = [];
 	readonly allRestartedAt: Milliseconds[] = [];
 	readonly evacuations: Array<{from: Milliseconds; to: Milliseconds}> = [];
+	readonly statedLimits: StatedLimit[] = [];
 	readonly #fleet: Fleet;
 	readonly #clock: Clock;
 	readonly #busyTargets = new Set<unknown>();
@@ -32,12 +33,29 @@
 	/** Applies one fault and reverts it after its duration. */
 	async inject(fault: Fault): Promise<void> {
 		const from = this.#clock.now();
-		const record = {kind: fault.kind, from, to: Number.POSITIVE_INFINITY};
+		const record = {
+			kind: fault.kind,
+			target: this.#findTargetName(fault),
+			from,
+			to: Number.POSITIVE_INFINITY,
+		};
 		this.faults.push(record);
 		await this.#apply(fault);
 		record.to = this.#clock.now();
 	}
 
+	/** Returns the name of the daemon, or the id of the server, that the fault concerns alone. */
+	#findTargetName(fault: Fault): string | undefined {
+		if (!('target' in fault)) {
+			return undefined;
+		}
+
+		const isAtServer = fault.kind.startsWith('server');
+		return isAtServer
+			? this.#fleet.backends[fault.target]!.server.id
+			: this.#fleet.daemons[fault.target]!.process.name;
+	}
+
 	async #apply(fault: Fault): Promise<void> {
 		switch (fault.kind) {
 			case 'store': {
@@ -70,6 +88,11 @@
 				break;
 			}
 
+			case 'server-limit': {
+				await this.#stateLimit(fault);
+				break;
+			}
+
 			case 'server-crash':
 			case 'server-leave': {
 				await this.#replaceServer(fault);
@@ -140,6 +163,26 @@
 		link.mode = 'sound';
 	}
 
+	async #stateLimit({
+		target,
+		perSecond,
+		duration,
+	}: FaultOf<'server-limit'>): Promise<void> {
+		const {server} = this.#fleet.backends[target]!;
+		const from = this.#clock.now();
+		const limit = {
+			server: server.id,
+			perSecond,
+			from,
+			to: Number.POSITIVE_INFINITY,
+		};
+		this.statedLimits.push(limit);
+		server.statedLimit = perSecond;
+		await wait(duration);
+		server.statedLimit = undefined;
+		limit.to = this.#clock.now();
+	}
+
 	async #replaceServer({
 		kind,
 		target,
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -26,6 +26,11 @@
 			readonly target: number;
 			readonly mode: LinkMode;
 	  }
+	| {
+			readonly kind: 'server-limit';
+			readonly target: number;
+			readonly perSecond: number;
+	  }
 	| {readonly kind: 'server-crash'; readonly target: number}
 	| {readonly kind: 'server-leave'; readonly target: number}
 	| {readonly kind: 'daemon-kill'; readonly target: number}
@@ -53,6 +58,13 @@
 /** Longer than the 5 s for which a daemon trusts its keys without the store. */
 const maxDuration: Milliseconds = 7000;
 
+/** Every second server states a limit on its rate, of two requests per second or up to four more. */
+const limitedServerInterval = 2;
+const minLimit = 2;
+const limitRange = 4;
+/** Separates the random numbers of the limits from those of the faults. */
+const limitSeedOffset = 1_000_000;
+
 type FaultFactory = (
 	pick: <Item>(items: readonly Item[]) => Item,
 	options: PlanOptions,
@@ -130,6 +142,10 @@
  * createPlan({seed: 7, duration: 30_000, daemons: 4, servers: 6});
  */
 export function createPlan(options: PlanOptions): Fault[] {
+	return [...createFaults(options), ...createLimits(options)];
+}
+
+function createFaults(options: PlanOptions): Fault[] {
 	const random = createRandom(options.seed);
 	const pick = <Item>(items: readonly Item[]): Item =>
 		items[Math.floor(random() * items.length)]!;
@@ -150,6 +166,20 @@
 	return faults;
 }
 
+/** Limits hold beside the faults for most of the run, as they bind only after some seconds. */
+function createLimits({seed, duration, servers}: PlanOptions): Fault[] {
+	const random = createRandom(seed + limitSeedOffset);
+	return toIndexes(servers)
+		.filter((target) => target % limitedServerInterval === 0)
+		.map((target) => ({
+			kind: 'server-limit',
+			target,
+			at: edgeMargin,
+			duration: duration - edgeMargin * 2,
+			perSecond: minLimit + limitRange * random(),
+		}));
+}
+
 function toIndexes(count: number): number[] {
 	return Array.from({length: count}, (_, index) => index);
 }
--- a/packages/soak/src/server-stand-in.ts
+++ b/packages/soak/src/server-stand-in.ts
@@ -43,6 +43,8 @@
 /** A stand-in for a backend server that records the requests it executes. */
 export class ServerStandIn {
 	mode: ServerMode = 'sound';
+	/** Requests per second that it states in its responses; it does not enforce them. */
+	statedLimit: number | undefined;
 	/** When the server's entry was set to draining in the store. */
 	drainStartedAt: Milliseconds | undefined;
 	readonly #clock: Clock;
@@ -89,6 +91,10 @@
 	): Promise<void> {
 		const requestId = String(request.headers['parsleyvale-request-id'] ?? '');
 		response.setHeader('parsleyvale-request-id', requestId);
+		if (this.statedLimit !== undefined) {
+			response.setHeader('server-limit', String(this.statedLimit));
+		}
+
 		if (request.headers['parsleyvale-expected-instance'] !== this.id) {
 			response.writeHead(421).end();
 			return;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -68,6 +68,7 @@
 			revokedAt: fleet.revokedAt,
 			drainStartedAt: fleet.drainStartedAt,
 			evacuations: injector.evacuations,
+			statedLimits: injector.statedLimits,
 			evacuatedServers: fleet.evacuatedServers,
 			faults: injector.faults,
 			allRestartedAt: injector.allRestartedAt,
