--- a/packages/steering/__tests__/limits.test.ts
+++ b/packages/steering/__tests__/limits.test.ts
@@ -87,6 +87,55 @@
 	});
 });
 
+describe('the rate of a customer over 30 hosts that are all active', () => {
+	it('is enforced when requests of a small customer come to all of them at once', () => {
+		const ratePerSecond = 5;
+		const simulation = new FleetSimulation({
+			regions,
+			hostsPerRegion: 10,
+			configuration: createConfiguration({
+				routes: [createRoute({latencyObjectiveMs: 100})],
+				customers: [
+					createCustomer({ratePerSecond, burst: ratePerSecond}),
+					createCustomer({name: 'other', keyHashes: ['other-key']}),
+				],
+			}),
+			serversPerRegion: [20, 20, 20],
+			slots: 10,
+			delayBetweenRegions: 12,
+			service: 'desk',
+			seed: 3,
+		});
+		const stream = {path: '/read/', objects: 8, timeLeft: 3000};
+		sendRequests(
+			simulation,
+			regions,
+			[{...stream, key: 'other-key', perSecond: 60}],
+			{from: 1000, to: 12_000},
+		);
+		sendRequests(
+			simulation,
+			regions,
+			[{...stream, key: 'key', perSecond: 240}],
+			{from: 10_000, to: 12_000},
+		);
+		for (let at = 500; at < 12_000; at += 500) {
+			simulation.schedule(at, () => {
+				simulation.confirmConfiguration();
+			});
+		}
+
+		simulation.runUntil(15_000);
+		const outcomes = [...simulation.outcomes.values()].filter(
+			({customer}) => customer === 'key',
+		);
+		const entitlement = ratePerSecond * 5 + ratePerSecond;
+		expect(countBusiestWindow(outcomes)).toBeLessThanOrEqual(
+			entitlement * 1.1 + 20,
+		);
+	});
+});
+
 describe('a caller beyond the rate of its customer', () => {
 	const ratePerSecond = 5;
 
