Check the limits that servers state in a file of the soak's own

`stated-limits.ts` has the check with its bounds, unchanged. The two log lines on limits share one function.

--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -2,8 +2,9 @@
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
 import {evacuatedFailureDomain, unlimitedKeys} from './deployment.js';
 import type {Fleet} from './fleet.js';
-import type {RunHistory, StatedLimit} from './oracle.js';
+import type {RunHistory} from './oracle.js';
 import type {Fault} from './plan.js';
+import type {StatedLimit} from './stated-limits.js';
 
 /** An entry expires after three missed heartbeats of 1.5 s. */
 const entryExpiryTime: Milliseconds = 4500;
--- a/packages/soak/src/oracle.ts
+++ b/packages/soak/src/oracle.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@parsleyvale/shared';
 import type {CallerRecord} from './caller.js';
 import {createResponseBody, type Execution} from './server-stand-in.js';
+import {listExceededLimits, type StatedLimit} from './stated-limits.js';
 
 /** What callers and servers observed during a run, and when faults and changes were applied. */
 export type RunHistory = {
@@ -37,13 +38,6 @@
 	};
 };
 
-export type StatedLimit = {
-	readonly server: string;
-	readonly perSecond: number;
-	readonly from: Milliseconds;
-	readonly to: Milliseconds;
-};
-
 export type Violation = {
 	readonly guarantee: string;
 	readonly requestId: string | undefined;
@@ -59,13 +53,6 @@
 	rateWindowMs: 5000,
 	rateOverageRatio: 0.1,
 	rateSlack: 20,
-	/** A stated limit binds after this time. */
-	limitSettlingMs: 3000,
-	/** A daemon is bound by a limit from this time after it passed on a response that states it. */
-	limitReactionMs: 500,
-	limitWindowMs: 4000,
-	limitFactor: 1.5,
-	limitSlack: 5,
 	/** Number of servers to which a request with a safe method may be sent. */
 	maxAttempts: 2,
 	/** Events within this time after a fault are not checked because the fault may have delayed them. */
@@ -85,14 +72,6 @@
 	'server-leave',
 	'server-limit',
 ]);
-/** Faults that excuse a daemon from the limits of servers. */
-const daemonFaultKinds: ReadonlySet<string> = new Set([
-	'daemon-kill',
-	'daemon-stop',
-	'daemon-pause',
-	'store-link',
-	'kill-all',
-]);
 /** Failures of requests that a daemon may never have received. */
 const notReceivedFailures: ReadonlySet<string | undefined> = new Set([
 	'ECONNREFUSED',
@@ -233,28 +212,12 @@
 		return [];
 	},
 	'servers get no more requests than they state': (history) =>
-		history.statedLimits.flatMap((limit) => {
-			const {perSecond, from, to} = limit;
-			const allowed =
-				(bounds.limitFactor * perSecond * bounds.limitWindowMs) / 1000 +
-				bounds.limitSlack;
-			const times = listBoundArrivals(history, limit);
-			return times
-				.filter((at) => at >= from + bounds.limitSettlingMs && at <= to)
-				.map(
-					(end) =>
-						times.filter((at) => at > end - bounds.limitWindowMs && at <= end)
-							.length,
-				)
-				.filter((count) => count > allowed)
-				.slice(0, 1)
-				.map((count) =>
-					createViolation(
-						undefined,
-						`${count} at ${limit.server}, at most ${Math.floor(allowed)} allowed`,
-					),
-				);
-		}),
+		listExceededLimits(history).map(({server, count, allowed}) =>
+			createViolation(
+				undefined,
+				`${count} at ${server}, at most ${Math.floor(allowed)} allowed`,
+			),
+		),
 	'planned changes do not interrupt received requests': ({records, faults}) =>
 		records
 			.filter(
@@ -335,52 +298,6 @@
 	);
 }
 
-/** Returns the times of a server's executions that its limit binds, by the daemons that had passed it on. */
-function listBoundArrivals(
-	{records, executions, faults}: RunHistory,
-	{server, from, to}: StatedLimit,
-): Milliseconds[] {
-	const recordsById = new Map(records.map((record) => [record.id, record]));
-	const informedAt = new Map<string, Milliseconds>();
-	const atServer = executions.filter(
-		(execution) =>
-			execution.server === server && execution.at >= from && execution.at <= to,
-	);
-	for (const {requestId} of atServer) {
-		const {daemon, status, endedAt} = recordsById.get(requestId) ?? {};
-		if (daemon !== undefined && status === 200 && endedAt !== undefined) {
-			const earliest = informedAt.get(daemon) ?? Number.POSITIVE_INFINITY;
-			informedAt.set(daemon, Math.min(earliest, endedAt));
-		}
-	}
-
-	return atServer
-		.filter(({requestId, at}) => {
-			const daemon = recordsById.get(requestId)?.daemon ?? '';
-			const isInformed =
-				at >=
-				(informedAt.get(daemon) ?? Number.POSITIVE_INFINITY) +
-					bounds.limitReactionMs;
-			return isInformed && !isExcused(faults, {daemon, server}, at);
-		})
-		.map(({at}) => at);
-}
-
-/** Whether a fault of the daemon, or of the link to the server, excuses a request. */
-function isExcused(
-	faults: RunHistory['faults'],
-	{daemon, server}: {readonly daemon: string; readonly server: string},
-	at: Milliseconds,
-): boolean {
-	return faults.some(({kind, target, from, to}) => {
-		const isConcerned =
-			(daemonFaultKinds.has(kind) &&
-				(target === undefined || target === daemon)) ||
-			(kind === 'server-link' && target === server);
-		return isConcerned && from <= at && to >= at - bounds.stabilizationMs;
-	});
-}
-
 function countExecutions(
 	executions: readonly Execution[],
 ): Map<string, number> {
--- a/packages/steering/src/request-log.ts
+++ b/packages/steering/src/request-log.ts
@@ -141,30 +141,29 @@
 
 /** Logs that a server stated another limit on its rate, or none any more. */
 export function logRateLimitChange(
-	{server, rateLimit}: ServerState,
+	state: ServerState,
 	context: SteeringContext,
 ): void {
-	context.emit({
-		type: 'log',
-		priority: 'belief',
-		message: 'server rate limit changed',
-		fields: {
-			server: server.id,
-			service: server.service,
-			requestsPerSecond: rateLimit ?? 'none',
-		},
-	});
+	logRateLimit('server rate limit changed', state, context);
 }
 
 /** Logs that a response states a rate limit that is no number, and so is ignored. */
 export function logUnreadableRateLimit(
+	state: ServerState,
+	context: SteeringContext,
+): void {
+	logRateLimit('server rate limit not readable', state, context);
+}
+
+function logRateLimit(
+	message: string,
 	{server, rateLimit}: ServerState,
 	context: SteeringContext,
 ): void {
 	context.emit({
 		type: 'log',
 		priority: 'belief',
-		message: 'server rate limit not readable',
+		message,
 		fields: {
 			server: server.id,
 			service: server.service,
