--- a/packages/steering/src/fleet-rates.ts
+++ b/packages/steering/src/fleet-rates.ts
@@ -40,17 +40,19 @@
 	readonly reportedAt: Milliseconds;
 };
 
+/** Demand at another host, in requests per second. */
+export type HostDemand = {readonly name: string; readonly demand: number};
+
 /** Demand for one limit, in requests per second, and how the rate may be shared. */
 export type Demand = {
 	/** Moving average at this host. */
 	readonly own: number;
 	/** The same, as the other hosts were last told. */
 	readonly reported: number;
-	/** The other live hosts, with their demand as last reported. */
-	readonly others: ReadonlyArray<{
-		readonly member: Member;
-		readonly demand: number;
-	}>;
+	/** The other live hosts. */
+	readonly live: readonly Member[];
+	/** Those of them that have reported demand. */
+	readonly others: readonly HostDemand[];
 	/** The fraction of the rate for this host and the other live ones. */
 	readonly liveFraction: number;
 	/** The fraction for each host if all have the same. */
@@ -413,16 +415,27 @@
 		const own = this.computeOwnShare(limit, {
 			own: demand,
 			reported: reportedDemand,
-			others: live.map((member) => {
-				const counts = member.digest && this.getCounts(member.digest);
-				return {member, demand: counts?.[limit.name]?.[0] ?? 0};
-			}),
+			live,
+			others: this.#listDemand(limit.name, live),
 			liveFraction,
 			evenShare,
 		});
 		return {own, live: liveFraction, computedAt: now};
 	}
 
+	#listDemand(limitName: string, live: readonly Member[]): HostDemand[] {
+		const demands: HostDemand[] = [];
+		for (const {host, digest} of live) {
+			const counts = digest && this.getCounts(digest);
+			const demand = counts?.[limitName]?.[0] ?? 0;
+			if (demand > 0) {
+				demands.push({name: host.name, demand});
+			}
+		}
+
+		return demands;
+	}
+
 	/** Adds one request to the moving average. */
 	#addDemand(bucket: Bucket): void {
 		bucket.demand += second / this.demandTimeConstant;
--- a/packages/steering/src/server-rates.ts
+++ b/packages/steering/src/server-rates.ts
@@ -8,6 +8,7 @@
 	type RateLimit,
 } from './fleet-rates.js';
 import {selectHolders, type HolderCandidate} from './limit-holders.js';
+import type {Member} from './members.js';
 import type {ServerState} from './server-state.js';
 import type {ServerTable} from './server-table.js';
 
@@ -110,16 +111,13 @@
 	 */
 	protected override computeOwnShare(
 		limit: RateLimit,
-		{reported, others, liveFraction}: Demand,
+		{reported, live, others, liveFraction}: Demand,
 	): number {
 		const self = {name: this.#self, demand: reported, isActive: true};
-		const candidates: HolderCandidate[] = others.map(
-			({member: {host, digest}, demand}) => ({
-				name: host.name,
-				demand,
-				isActive: (digest?.requestsPerSecond ?? 0) > 0,
-			}),
-		);
+		const hasDemand = reported > 0 || others.length > 0;
+		const candidates = hasDemand
+			? others.map(({name, demand}) => ({name, demand, isActive: true}))
+			: live.map((member) => toIdleCandidate(member));
 		const holders = selectHolders(limit, [self, ...candidates]);
 		if (!holders.includes(self)) {
 			return 0;
@@ -150,6 +148,11 @@
 	}
 }
 
+function toIdleCandidate({host, digest}: Member): HolderCandidate {
+	const isActive = (digest?.requestsPerSecond ?? 0) > 0;
+	return {name: host.name, demand: 0, isActive};
+}
+
 function findLimit({server, rateLimit}: ServerState): RateLimit | undefined {
 	if (rateLimit === undefined) {
 		return undefined;
