--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -184,7 +184,10 @@
 		: {running: Number(match[1]), waiting: Number(match[2])};
 }
 
-/** Parses the header with a server's rate limit; a missing one means no limit, and one that is no number says nothing. It may have any number of digits. */
+/**
+ * Parses the header with a server's rate limit, a decimal number with any number of
+ * digits. A missing header means no limit, and one that is no number says nothing.
+ */
 function parseRateLimit(
 	text: string | undefined,
 ): ReportedRateLimit | undefined {
--- a/packages/requests/src/live-request.ts
+++ b/packages/requests/src/live-request.ts
@@ -23,7 +23,7 @@
 	readonly arrivedAt: Milliseconds;
 	readonly route: Route;
 	readonly customer: string | undefined;
-	/** Moved forward if the host stops earlier. */
+	/** When the request times out, or when the host stops if that is earlier. */
 	deadline: Milliseconds;
 	/** Names of the servers that earlier attempts were sent to. */
 	readonly triedServers: string[] = [];
