--- a/packages/steering/src/limit-holders.ts
+++ b/packages/steering/src/limit-holders.ts
@@ -1,6 +1,6 @@
 import {computeHash} from './hash.js';
 
-/** Hosts that share a limit, for each token of its burst: a host's part must come to whole tokens. */
+/** Hosts that share a limit, for each token of its burst: a host can only use whole tokens. */
 const holdersPerToken = 0.5;
 const hashRange = 2 ** 32;
 
@@ -15,7 +15,7 @@
 /**
  * Selects the few hosts that share a limit, by demand, consistently on all hosts
  * (weighted rendezvous hashing). Without any demand, all active hosts are equal.
- * If every host had a part, each would save a token in a calm time, and all hosts
+ * If every host had a part, each would accumulate a token while idle, and all hosts
  * together could send many times the burst at the same moment.
  *
  * @example
