Do not reuse a connection whose server sent more than the response

Cause: the parser of responses lives as long as its connection. When a response was complete, the connection went back into the pool even if the parser had already read the beginning of a further head, or had failed on bytes that are no HTTP. The next response's lines then continued that head, and the next request got a foreign status.

Ruled out: a check of the id alone. The id stands in the part of the head that belongs to the real response.

Change: the end of a response says whether more bytes were received with it; such a connection is closed, and nothing is read from these bytes.

Test: the five "behind a response never becomes part of the next one" of server-connections.test.ts, each with every length of the added bytes, failed before (at the first length) and pass now; entry 79 of 79.

--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -143,6 +143,54 @@
 	});
 });
 
+/** Responses to request 1 that a faulty server sends once more, or to no request. */
+const unsolicitedResponses = {
+	'a refusal without an id':
+		'HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\n' +
+		'date: Sat, 05 Dec 2026 10:00:00 GMT\r\ncontent-length: 0\r\n\r\n',
+	'a refusal of the earlier request':
+		'HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-id: 1\r\n' +
+		'content-length: 2\r\n\r\nno',
+	'a second copy of the earlier response': formatResponse('1'),
+	'an interim response': 'HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\n',
+	'bytes that are not HTTP': 'garbage\r\n\r\n',
+} as const;
+const ownFailure = {kind: 'answered', status: 500, body: 'failed'} as const;
+
+function formatFailure(id: string): string {
+	return formatResponse(id, 'failed').replace('200 OK', '500 Failed');
+}
+
+/**
+ * The parser of a connection lives as long as the connection. If it has read the
+ * beginning of another head when the next request is sent, the status of that head
+ * would be combined with the id in the head of the next response.
+ */
+describe('the beginning of an unsolicited response', {timeout: 60_000}, () => {
+	for (const [name, unsolicited] of Object.entries(unsolicitedResponses)) {
+		it(`(${name}) behind a response never becomes part of the next one`, async () => {
+			for (let length = 1; length <= unsolicited.length; length++) {
+				const {server, send} = await createFixture(
+					({socket, header}, requestNumber) => {
+						const id = header('x-id');
+						socket.write(
+							requestNumber === 1
+								? formatResponse(id) + unsolicited.slice(0, length)
+								: formatFailure(id),
+						);
+					},
+				);
+				expect(await send('1')).toEqual(completeResponse);
+				expect(await send('2')).toEqual(ownFailure);
+				expect(server.connectionCount).toEqual(2);
+				for (const cleanUp of cleanups.splice(0)) {
+					cleanUp();
+				}
+			}
+		});
+	}
+});
+
 /** Heads of responses; a server may stop anywhere before their end. */
 const heads = {
 	'with a length': (id: string) =>
--- a/packages/entry/src/response-parser.ts
+++ b/packages/entry/src/response-parser.ts
@@ -14,7 +14,8 @@
 	/** Returns whether the response has no body (HEAD). */
 	abstract onHead(head: ResponseHead): boolean;
 	abstract onBody(chunk: Buffer): void;
-	abstract onEnd(): void;
+	/** `hasMoreBytes`: whether bytes were received that do not belong to the response. */
+	abstract onEnd(hasMoreBytes: boolean): void;
 }
 
 const firstFinalStatus = 200;
@@ -104,11 +105,16 @@
 		const remainingBytes: unknown = Reflect.get(this.#parser, 'body_bytes');
 		this.#isInvalid ||= Number.isNaN(remainingBytes);
 		if (!this.#isInterim && !this.#isInvalid) {
-			this.#listener.onEnd();
+			this.#listener.onEnd(this.#hasUnparsedBytes());
 		}
 
 		this.#isInterim = false;
 	}
+
+	#hasUnparsedBytes(): boolean {
+		const offset = Reflect.get(this.#parser, 'offset') as number;
+		return offset < (Reflect.get(this.#parser, 'end') as number);
+	}
 }
 
 /** Whether the headers define the length of the body unambiguously. */
--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -171,11 +171,14 @@
 		}
 	}
 
-	override onEnd(): void {
+	override onEnd(hasMoreBytes: boolean): void {
 		if (this.#isMismatched) {
 			return;
 		}
 
+		// Further bytes belong to no request. The connection is not reused, as they
+		// may be the beginning of a head that the next response would continue.
+		this.#isReusable &&= !hasMoreBytes;
 		// The exchange is notified only after all received bytes are parsed, as they
 		// may contain an unsolicited second response.
 		this.#isResponseComplete = true;
