Take no head for a response that runs into another one

Cause: bytes that a server adds late arrive when the next request has been sent, so its connection is in use and the rule of the pool does not help. The beginning of a head and the head of the real response become one. The parser ignores lines that are no header, so the real status line vanished; the status came from the foreign head, and the id from the real one.

Change: a head is malformed if a line is no header, or if a status line stands in a value or in the reason phrase. The request then counts as possibly run: 502, or another attempt if it is idempotent. A response always begins with a status line, so wherever the first head was cut, one of the two shows it.

Test: "in front of a response never becomes part of it", with every length of five kinds of added bytes; three of the five failed before, all pass now.

Left: a value that legitimately contains a status line ("HTTP/1.1 200") makes the answer a 502. A late copy that is cut within its body swallows the real response; its request ends with a 504 at its timeout, as before.

--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -188,6 +188,29 @@
 				}
 			}
 		});
+
+		it(`(${name}) in front of a response never becomes part of it`, async () => {
+			for (let length = 1; length <= unsolicited.length; length++) {
+				const {send} = await createFixture(
+					({socket, header}, requestNumber) => {
+						const id = header('x-id');
+						if (requestNumber === 1) {
+							socket.write(formatResponse(id));
+						} else {
+							socket.end(unsolicited.slice(0, length) + formatFailure(id));
+						}
+					},
+				);
+				expect(await send('1')).toEqual(completeResponse);
+				const result = await send('2');
+				expect(result).toEqual(
+					result.kind === 'answered' ? ownFailure : failedAfterSend,
+				);
+				for (const cleanUp of cleanups.splice(0)) {
+					cleanUp();
+				}
+			}
+		});
 	}
 });
 
--- a/packages/entry/src/response-parser.ts
+++ b/packages/entry/src/response-parser.ts
@@ -18,6 +18,13 @@
 	abstract onEnd(hasMoreBytes: boolean): void;
 }
 
+/** A header line, or the continuation of the one before it. */
+const headerLinePattern = /^(?:[!#$%&'*+.^`|~\w-]+:|[ \t])/;
+/**
+ * Part of a status line. Inside a head, it shows that a server broke off that
+ * head and that the rest belongs to another response.
+ */
+const statusLinePattern = /HTTP\/\d\.\d \d{3}/;
 const firstFinalStatus = 200;
 /** Return value that makes the parser skip the body; 0: parse it. */
 const skipBody = 1;
@@ -40,6 +47,10 @@
 
 	constructor(listener: ResponseListener) {
 		this.#listener = listener;
+		this.#parser.parseHeader = (line, headers) => {
+			this.#parseHeaderLine(line, headers);
+		};
+
 		this.#parser.onHeadersComplete = (info) => this.#onHead(info);
 		this.#parser.onBody = (chunk, offset, length) => {
 			this.#onBody(chunk, offset, length);
@@ -66,11 +77,20 @@
 		return !(this.#parser.finish() instanceof Error) && !this.#isInvalid;
 	}
 
+	/** The parser itself ignores lines that are no header. */
+	#parseHeaderLine(line: string, headers: string[]): void {
+		this.#isInvalid ||=
+			!headerLinePattern.test(line) || statusLinePattern.test(line);
+		HTTPParser.prototype.parseHeader.call(this.#parser, line, headers);
+	}
+
 	#onHead(info: {
 		statusCode: number;
+		statusMessage: string;
 		headers: string[];
 		shouldKeepAlive: boolean;
 	}): number {
+		this.#isInvalid ||= statusLinePattern.test(info.statusMessage);
 		if (info.statusCode < firstFinalStatus) {
 			this.#isInterim = true;
 			return 0;
