Answer requests whose server sent an invalid header

Cause: the parser of responses accepts any byte in a value, and decodes as "ascii", which clears the highest bit, so that 0x9E becomes the control character 0x1E. The HTTP library then throws when the head is to be written. The request had been removed by then, so nothing answered it; in a streamed answer the error was thrown in the handler of the server's socket, where nothing catches it.

Ruled out: replacing the character by a space and delivering. RFC 9110 allows either; a server that spoils one byte may have spoiled the seal too, and then a success without the server's seal would be delivered.

Change: a head with a character that may not stand in a header is malformed (502, or another attempt if the request is idempotent); heads are decoded as Latin-1 and passed on unchanged. If writing a head fails all the same, the caller's connection is closed and the error logged, in the buffered and in the streamed case.

--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {validateHeaderName, validateHeaderValue} from 'node:http';
 import {afterEach, describe, it} from 'node:test';
 import {createManualClock} from '@parsleyvale/shared';
 import type {BackendServer} from '@parsleyvale/steering';
@@ -41,16 +42,18 @@
 		coldRemainingMs: 0,
 		incarnation: '1',
 	};
-	const send = async (id: string, isIdempotent = true) => {
+	const startExchange = (id: string, isIdempotent = true) => {
 		const exchange = new RecordingExchange(id);
 		const head = `GET / HTTP/1.1\r\nhost: h\r\nx-id: ${id}\r\n\r\n`;
 		connections
 			.acquire(target, isIdempotent)
 			.send(exchange, Buffer.from(head), true);
-		return exchange.result;
+		return exchange;
 	};
 
-	return {server, clock, connections, target, send};
+	const send = async (id: string, isIdempotent = true) =>
+		startExchange(id, isIdempotent).result;
+	return {server, clock, connections, target, startExchange, send};
 }
 
 const completeResponse = {
@@ -362,6 +365,42 @@
 	});
 });
 
+/** Such a header cannot be passed on, so the request would get no answer. */
+describe('the head of a response', {timeout: 20_000}, () => {
+	for (const [place, formatLine] of Object.entries({
+		'a value': (byte: string) => `x-note: a${byte}b`,
+		'a name': (byte: string) => `x-no${byte}te: a`,
+		'the first character': (byte: string) => `${byte}x-note: a`,
+	})) {
+		it(`is accepted only if it can be passed on, whatever the byte in ${place}`, async () => {
+			for (let byte = 0; byte <= 0xff; byte++) {
+				const line = formatLine(String.fromCodePoint(byte));
+				const {startExchange} = await createFixture(({socket}) => {
+					const text = formatResponse('1').replace('\r\n', `\r\n${line}\r\n`);
+					socket.end(text, 'latin1');
+				});
+				const exchange = startExchange('1');
+				const {kind} = await exchange.result;
+				const {rawHeaders} = exchange;
+				for (let index = 0; index < rawHeaders.length; index += 2) {
+					validateHeaderName(rawHeaders[index]!);
+					validateHeaderValue(rawHeaders[index]!, rawHeaders[index + 1]!);
+				}
+
+				const isAllowedInValue =
+					byte === 0x09 || byte >= 0x80 || (byte >= 0x20 && byte < 0x7f);
+				if (place === 'a value') {
+					expect(kind).toEqual(isAllowedInValue ? 'answered' : 'failed');
+				}
+
+				for (const cleanUp of cleanups.splice(0)) {
+					cleanUp();
+				}
+			}
+		});
+	}
+});
+
 describe('a request', () => {
 	it('to an unreachable server was not sent', async () => {
 		const {server, send} = await createFixture(() => undefined);
--- a/packages/entry/__tests__/support/recording-exchange.ts
+++ b/packages/entry/__tests__/support/recording-exchange.ts
@@ -23,6 +23,11 @@
 		});
 	}
 
+	/** Alternating names and values of the response's headers. */
+	get rawHeaders(): readonly string[] {
+		return this.#head?.rawHeaders ?? [];
+	}
+
 	override onConnected(): void {
 		// The round trip time is not recorded.
 	}
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -33,6 +33,8 @@
 	/** Limit on the requests of one connection in progress at the same time. */
 	readonly maximumPipelinedRequests: number;
 	readonly onEvent: (event: SteeringEvent) => void;
+	/** Called with an unexpected error, which concerned one request. */
+	readonly onError: (error: unknown, operation: string) => void;
 };
 
 /** HTTP server that accepts the requests of callers. */
@@ -151,7 +153,7 @@
 			return;
 		}
 
-		const {onEvent, headerNames, clock, connections} = this.#options;
+		const {onEvent, onError, headerNames, clock, connections} = this.#options;
 		const exchange = new Exchange({
 			headerNames,
 			clock,
@@ -162,6 +164,7 @@
 			isStreamedBody: bodyResult === 'long',
 			response,
 			onEvent,
+			onError,
 			shouldCloseConnection: () => this.#pipelines.shouldClose(response),
 		});
 		this.#exchanges.set(id, exchange);
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -97,6 +97,7 @@
 			onEvent: (event) => {
 				this.handle(event);
 			},
+			onError,
 		});
 		this.#peerTransport = new PeerTransport({
 			endpoint: options.peers,
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -36,6 +36,7 @@
 	readonly headerNames: HeaderNames;
 	readonly clock: Clock;
 	readonly onEvent: (event: SteeringEvent) => void;
+	readonly onError: (error: unknown, operation: string) => void;
 	/** Whether to close the caller's connection after the response. */
 	readonly shouldCloseConnection: () => boolean;
 };
@@ -108,8 +109,9 @@
 		}
 
 		const {head, body} = bufferedResponse;
-		this.#writeHead(head, body.length);
-		this.#options.response.end(body);
+		if (this.#startResponse(head, body.length)) {
+			this.#options.response.end(body);
+		}
 	}
 
 	cancelAttempt(attemptNumber: number): void {
@@ -133,8 +135,9 @@
 	}
 
 	override onStreamStart(head: ResponseHead, firstBytes: Buffer): void {
-		this.#writeHead(head, undefined);
-		this.onStreamData(firstBytes);
+		if (this.#startResponse(head, undefined)) {
+			this.onStreamData(firstBytes);
+		}
 	}
 
 	override onStreamData(chunk: Buffer): void {
@@ -215,6 +218,19 @@
 		}
 	}
 
+	/** Returns whether the head was written; if not, the caller's connection is closed. */
+	#startResponse(head: ResponseHead, length: number | undefined): boolean {
+		try {
+			this.#writeHead(head, length);
+			return true;
+		} catch (error) {
+			// The caller would wait in vain, as the request is no longer tracked.
+			this.#options.onError(error, 'write response head');
+			this.#options.response.destroy();
+			return false;
+		}
+	}
+
 	#writeHead(head: ResponseHead, length: number | undefined): void {
 		const {response} = this.#options;
 		response.sendDate = false;
--- a/packages/entry/src/response-parser.ts
+++ b/packages/entry/src/response-parser.ts
@@ -18,8 +18,12 @@
 	abstract onEnd(hasMoreBytes: boolean): void;
 }
 
+/** Bytes above ASCII are valid in values of headers; "ascii" would change them. */
+HTTPParser.encoding = 'latin1';
+
 /** A header line, or the continuation of the one before it. */
-const headerLinePattern = /^(?:[!#$%&'*+.^`|~\w-]+:|[ \t])/;
+const headerLinePattern =
+	/^(?:[!#$%&'*+.^`|~\w-]+:|[ \t])[\t\u0020-\u007E\u0080-\u00FF]*$/;
 /**
  * Part of a status line. Inside a head, it shows that a server broke off that
  * head and that the rest belongs to another response.
