Leave out entries whose numbers no host can use

Report of another operator: one odd entry among those of the servers ended the machines that read the list, or they stopped following it. Can it happen here? In part, tried at each reader of the list (the host that reads the store, in a list and in a change; the hosts that copy from it; the kernel), before a change:

- deep nesting (100,000 arrays or objects, as the entry or in a field), numbers beyond the range of a double, a start time of 400 digits: left out, as asked; JSON is parsed without recursion and nothing formats what was read;
- a port above 65535: the socket throws; each request placed there got a 504 at its timeout;
- port 0, or a cold time that is infinite in milliseconds: this host accepts the entry, and the hosts that copy from it reject the whole copy, so they stop following the list of servers;
- an address that is no IPv4 address, and slots of 2^53: accepted as a server.

No process ended in any of these.

Cause: the reader of the store and the reader of a copy checked different things.

Hosts and digests likewise for ports.

--- a/packages/entry/__tests__/digest-codec.test.ts
+++ b/packages/entry/__tests__/digest-codec.test.ts
@@ -63,6 +63,14 @@
 };
 
 describe('a digest', () => {
+	for (const port of [0, 65_536, 4_000_000_000]) {
+		it(`with the port ${port} is invalid`, () => {
+			const codec = createCodec();
+			const bytes = Buffer.from(codec.encode({...shortDigest, port}));
+			expect(codec.decode(bytes).isErr).toEqual(true);
+		});
+	}
+
 	for (const [name, digest] of Object.entries({
 		shortDigest,
 		countsDigest,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,3 +5,4 @@
 	type EntryHostOptions,
 } from './entry-host.js';
 export type {HeaderNames} from './header-names.js';
+export {storeDeltaSchema} from './store-view.js';
--- a/packages/soak/src/store-stand-in.ts
+++ b/packages/soak/src/store-stand-in.ts
@@ -24,6 +24,11 @@
 	readonly objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
 };
 
+/** JSON text that is sent as it is, for values that `JSON.stringify` cannot write. */
+class RawJson {
+	constructor(readonly text: string) {}
+}
+
 /** How the store responds to calls. */
 export type StoreMode =
 	| 'serves'
@@ -99,6 +104,11 @@
 		});
 	}
 
+	/** Creates or replaces an object whose spec is sent as the given JSON text. */
+	putText(kind: string, name: string, json: string): void {
+		this.put(kind, name, new RawJson(json));
+	}
+
 	remove(kind: string, name: string): boolean {
 		const object = this.findObject(kind, name);
 		if (object === undefined) {
@@ -292,6 +302,22 @@
 ): void {
 	if (!response.destroyed) {
 		response.writeHead(status, {'content-type': 'application/json'});
-		response.end(JSON.stringify(value));
+		response.end(formatJson(value));
 	}
 }
+
+function formatJson(value: unknown): string {
+	const texts: string[] = [];
+	const json = JSON.stringify(value, (_key, item: unknown) => {
+		if (!(item instanceof RawJson)) {
+			return item;
+		}
+
+		texts.push(item.text);
+		return `raw JSON ${texts.length - 1}`;
+	});
+	return json.replaceAll(
+		/"raw JSON (\d+)"/g,
+		(_match, index) => texts[Number(index)]!,
+	);
+}
--- a/packages/steering/src/digest.ts
+++ b/packages/steering/src/digest.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import {remotePortSchema} from './model.js';
 
 const amountSchema = z.number();
 const countsSchema = z.tuple([amountSchema, amountSchema]);
@@ -18,7 +19,7 @@
 	/** Processing capacity in cores. */
 	capacity: z.number().positive(),
 	address: z.string(),
-	port: z.int(),
+	port: remotePortSchema,
 	/** Whether callers may be directed to the host. */
 	isReady: z.boolean(),
 	/** Rate of requests that callers send to the host. */
--- a/packages/steering/src/model.ts
+++ b/packages/steering/src/model.ts
@@ -1,7 +1,13 @@
+import {minute, portSchema, type Milliseconds} from '@parsleyvale/shared';
 import * as z from 'zod';
 
 const nameSchema = z.string().min(1);
 const millisecondsSchema = z.number().min(0);
+/** Port of another process; sockets throw on any other number. */
+export const remotePortSchema = portSchema.min(1);
+/** Larger values of an entry are taken for a mistake. */
+const maximumSlots = 65_535;
+const maximumColdRemaining: Milliseconds = 24 * 60 * minute;
 
 /** A service and its weight in a route's traffic. */
 export const routeTargetSchema = z.object({
@@ -74,14 +80,14 @@
 export const backendServerSchema = z.object({
 	id: nameSchema,
 	service: nameSchema,
-	address: nameSchema,
-	port: z.int().positive(),
+	address: z.ipv4(),
+	port: remotePortSchema,
 	failureDomain: nameSchema,
 	region: nameSchema,
-	slots: z.int().positive(),
+	slots: z.int().positive().max(maximumSlots),
 	isDraining: z.boolean(),
 	/** Remaining startup time, in which it takes only `coldRatePerSecond`, as of when this was read. */
-	coldRemainingMs: millisecondsSchema,
+	coldRemainingMs: millisecondsSchema.max(maximumColdRemaining),
 	/** Distinguishes restarts under the same id. */
 	incarnation: z.string(),
 });
@@ -98,7 +104,7 @@
 	capacity: z.number().positive().default(1),
 	/** Address for messages between hosts. */
 	peerAddress: nameSchema,
-	peerPort: z.int().positive(),
+	peerPort: remotePortSchema,
 });
 
 export type RouteTarget = z.infer<typeof routeTargetSchema>;
