--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -240,6 +240,14 @@
 		this.handle({type: 'tick'});
 	}
 
+	async #tryFetchDelta(peer: Endpoint): Promise<void> {
+		try {
+			await this.#fetchDelta(peer);
+		} catch (error) {
+			this.#logInternalError(error, 'fetch-copy');
+		}
+	}
+
 	async #fetchDelta(
 		peer: Endpoint,
 		revision = this.#storeView.revision,
@@ -313,7 +321,7 @@
 			this.#peerTransport.sendDigest(to, digest);
 		});
 		driver.onEffect('fetch-copy', ({address, port}) => {
-			void this.#fetchDelta({address, port});
+			void this.#tryFetchDelta({address, port});
 		});
 		driver.onEffect('set-reading', ({isReading}) => {
 			this.#options.onReadingChanged(isReading);
