Read a connection again before it goes back into the pool

Cause: while a caller does not read, the connection to the server is paused. It went back into the pool still paused when the response was complete, so the next response on it was never read; and the pause also hit connections of ended attempts, which other requests may use.

Change: the end of a response lets the connection be read again, and only the exchange that a connection serves can pause or resume it.

Tests, failing before (no response within 5 s): "is read again when the next request uses it", "is not paused by an exchange that has ended". Entry and platform pass.

--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -45,14 +45,13 @@
 	const startExchange = (id: string, isIdempotent = true) => {
 		const exchange = new RecordingExchange(id);
 		const head = `GET / HTTP/1.1\r\nhost: h\r\nx-id: ${id}\r\n\r\n`;
-		connections
-			.acquire(target, isIdempotent)
-			.send(exchange, Buffer.from(head), true);
-		return exchange;
+		const connection = connections.acquire(target, isIdempotent);
+		connection.send(exchange, Buffer.from(head), true);
+		return {exchange, connection};
 	};
 
 	const send = async (id: string, isIdempotent = true) =>
-		startExchange(id, isIdempotent).result;
+		startExchange(id, isIdempotent).exchange.result;
 	return {server, clock, connections, target, startExchange, send};
 }
 
@@ -379,7 +378,7 @@
 					const text = formatResponse('1').replace('\r\n', `\r\n${line}\r\n`);
 					socket.end(text, 'latin1');
 				});
-				const exchange = startExchange('1');
+				const {exchange} = startExchange('1');
 				const {kind} = await exchange.result;
 				const {rawHeaders} = exchange;
 				for (let index = 0; index < rawHeaders.length; index += 2) {
@@ -401,6 +400,38 @@
 	}
 });
 
+/** Callers that read slowly pause the connection to the server. */
+describe('a paused connection', {timeout: 5000}, () => {
+	const createPausedFixture = async () => {
+		const fixture = await createFixture(({socket, header}) => {
+			socket.write(formatResponse(header('x-id')));
+		});
+		const {exchange, connection} = fixture.startExchange('1');
+		exchange.onBodyPart = () => {
+			connection.pause(exchange);
+		};
+
+		expect(await exchange.result).toEqual(completeResponse);
+		return {...fixture, exchange, connection};
+	};
+
+	it('is read again when the next request uses it', async () => {
+		const {server, send} = await createPausedFixture();
+		expect(await send('2')).toEqual(completeResponse);
+		expect(server.connectionCount).toEqual(1);
+	});
+
+	it('is not paused by an exchange that has ended', async () => {
+		const {server, startExchange, exchange, connection} =
+			await createPausedFixture();
+		const next = startExchange('2');
+		expect(next.connection).toEqual(connection);
+		connection.pause(exchange);
+		expect(await next.exchange.result).toEqual(completeResponse);
+		expect(server.connectionCount).toEqual(1);
+	});
+});
+
 describe('a request', () => {
 	it('to an unreachable server was not sent', async () => {
 		const {server, send} = await createFixture(() => undefined);
--- a/packages/entry/__tests__/support/recording-exchange.ts
+++ b/packages/entry/__tests__/support/recording-exchange.ts
@@ -9,6 +9,8 @@
 /** Collects the response to one request and exposes the result as a promise. */
 export class RecordingExchange extends ServerExchange {
 	readonly result: Promise<ExchangeResult>;
+	/** Called with each part of the body. */
+	onBodyPart: (() => void) | undefined;
 	#resolveResult!: (result: ExchangeResult) => void;
 	#head: ResponseHead | undefined;
 	#body = '';
@@ -37,6 +39,7 @@
 	}
 
 	override onResponseBody(chunk: Buffer): void {
+		this.onBodyPart?.();
 		this.#body += chunk.toString('latin1');
 	}
 
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -146,10 +146,10 @@
 			return;
 		}
 
-		for (const {connection} of this.#attempts.values()) {
-			connection.pause();
+		for (const {attempt, connection} of this.#attempts.values()) {
+			connection.pause(attempt);
 			response.once('drain', () => {
-				connection.resume();
+				connection.resume(attempt);
 			});
 		}
 	}
--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -129,12 +129,17 @@
 		this.#isRequestComplete = true;
 	}
 
-	pause(): void {
-		this.#socket.pause();
+	/** Stops reading the response; does nothing once the connection no longer serves the exchange. */
+	pause(exchange: ServerExchange): void {
+		if (this.#exchange === exchange) {
+			this.#socket.pause();
+		}
 	}
 
-	resume(): void {
-		this.#socket.resume();
+	resume(exchange: ServerExchange): void {
+		if (this.#exchange === exchange) {
+			this.#socket.resume();
+		}
 	}
 
 	/** Closes the connection without notifying its pending request. */
@@ -236,6 +241,8 @@
 		const exchange = this.#exchange;
 		this.#exchange = undefined;
 		this.#lastUsedAt = this.#options.clock.now();
+		// The exchange may have paused it; the next one would never get its response.
+		this.#socket.resume();
 		if (this.#isReusable && !this.#isClosed) {
 			this.#options.onIdle(this);
 		} else {
