Let one attempt alone write a request's answer, and send no request again behind it

Cause: steering does not know that an answer has started, so it moved an overdue idempotent request to another server while its answer was being sent; and any attempt of a request may write to its caller.

Change: the first bytes of a streamed answer are an event; from then on the request is not sent again. An exchange has one writer, the first attempt whose answer is sent; the others write nothing.

--- a/packages/entry/__tests__/exchange.test.ts
+++ b/packages/entry/__tests__/exchange.test.ts
@@ -52,17 +52,30 @@
 	}
 
 	override acquire(): ServerConnection {
-		const send = (exchange: ServerExchange) => {
-			this.respond(exchange);
+		const connection: Partial<ServerConnection> = {
+			send: (exchange) => {
+				this.respond(exchange);
+			},
+			pause: () => undefined,
+			resume: () => undefined,
+			close: () => undefined,
 		};
-
-		return {send} as unknown as ServerConnection;
+		return connection as ServerConnection;
 	}
 }
 
-/** Forwards one caller's request; returns how it ended for the caller and the errors logged. */
-async function exchangeOnce(respond: (exchange: ServerExchange) => void) {
+/**
+ * Forwards one caller's request once for each function, which plays its server;
+ * returns how it ended for the caller and the errors logged.
+ */
+async function exchangeOnce(
+	...servers: ReadonlyArray<(exchange: ServerExchange) => void>
+) {
 	const errors: string[] = [];
+	const remainingServers = [...servers];
+	const connections = new FakeConnections((exchange) => {
+		remainingServers.shift()?.(exchange);
+	});
 	const handle = async (request: IncomingMessage, response: ServerResponse) => {
 		const body = new RequestBody(request);
 		await body.read(0);
@@ -72,7 +85,7 @@
 			body,
 			isStreamedBody: false,
 			response,
-			connections: new FakeConnections(respond),
+			connections,
 			headerNames,
 			clock: createManualClock(0),
 			onEvent(event) {
@@ -85,15 +98,17 @@
 			},
 			shouldCloseConnection: () => false,
 		});
-		exchange.forward({
-			type: 'forward',
-			requestId: '1',
-			attempt: 1,
-			server: createBackendServer(),
-			customer: undefined,
-			deadline: 1000,
-			isIdempotent: true,
-		});
+		for (const [index] of servers.entries()) {
+			exchange.forward({
+				type: 'forward',
+				requestId: '1',
+				attempt: index + 1,
+				server: createBackendServer(),
+				customer: undefined,
+				deadline: 1000,
+				isIdempotent: true,
+			});
+		}
 	};
 
 	callerServer.on('request', (request, response) => {
@@ -101,8 +116,18 @@
 	});
 	const {port} = callerServer.address() as AddressInfo;
 	const outcome = await new Promise<string>((resolve) => {
-		get({host: '127.0.0.1', port, agent: false}, ({statusCode}) => {
-			resolve(`answered ${statusCode}`);
+		get({host: '127.0.0.1', port, agent: false}, (response) => {
+			const chunks: Buffer[] = [];
+			response.on('data', (chunk: Buffer) => chunks.push(chunk));
+			response.on('end', () => {
+				const seal = String(response.headers['x-seal']);
+				const body = Buffer.concat(chunks).toString();
+				const characters = [...new Set(body)].join('');
+				resolve(`${seal}: ${body.length} times ${characters}`);
+			});
+			response.on('error', () => {
+				resolve('cut');
+			});
 		}).on('error', () => {
 			resolve('closed');
 		});
@@ -133,3 +158,37 @@
 		});
 	},
 );
+
+/** Each of two attempts may get a response, as when a slow request was sent again. */
+describe('a response that is being sent', {timeout: testTimeoutMs}, () => {
+	const partSize = 300 * 1024;
+	const toHead = (seal: string) => ({
+		status: 200,
+		rawHeaders: ['x-id', '1', 'x-seal', seal],
+		shouldKeepAlive: true,
+	});
+
+	for (const [name, size] of Object.entries({
+		buffered: 10,
+		streamed: partSize,
+	})) {
+		it(`is not mixed with that of another attempt (${name})`, async () => {
+			let first: ServerExchange | undefined;
+			const {outcome} = await exchangeOnce(
+				(exchange) => {
+					first = exchange;
+					exchange.onResponseHead(toHead('first'));
+					exchange.onResponseBody(Buffer.alloc(partSize, 'a'));
+				},
+				(exchange) => {
+					exchange.onResponseHead(toHead('second'));
+					exchange.onResponseBody(Buffer.alloc(size, 'b'));
+					exchange.onResponseEnd();
+					first!.onResponseBody(Buffer.alloc(partSize, 'a'));
+					first!.onResponseEnd();
+				},
+			);
+			expect(outcome).toEqual(`first: ${2 * partSize} times a`);
+		});
+	}
+});
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -24,11 +24,15 @@
 /** Receives the streamed response and the result of an attempt. */
 export abstract class AttemptListener {
 	/** The response exceeds the buffer and is streamed to the caller from here on. */
-	abstract onStreamStart(head: ResponseHead, firstBytes: Buffer): void;
-	abstract onStreamData(chunk: Buffer): void;
-	abstract onStreamEnd(): void;
+	abstract onStreamStart(
+		attempt: Attempt,
+		head: ResponseHead,
+		firstBytes: Buffer,
+	): void;
+	abstract onStreamData(attempt: Attempt, chunk: Buffer): void;
+	abstract onStreamEnd(attempt: Attempt): void;
 	/** A streamed response was truncated. */
-	abstract onStreamAborted(): void;
+	abstract onStreamAborted(attempt: Attempt): void;
 	abstract onEnded(attempt: Attempt, result: AttemptResult): void;
 }
 
@@ -101,7 +105,7 @@
 	override onResponseBody(chunk: Buffer): void {
 		this.#bodyBytes += chunk.length;
 		if (this.#isStreaming) {
-			this.#options.listener.onStreamData(chunk);
+			this.#options.listener.onStreamData(this, chunk);
 			return;
 		}
 
@@ -110,13 +114,13 @@
 			this.#isStreaming = true;
 			const firstBytes = Buffer.concat(this.#chunks);
 			this.#chunks = [];
-			this.#options.listener.onStreamStart(this.#head!, firstBytes);
+			this.#options.listener.onStreamStart(this, this.#head!, firstBytes);
 		}
 	}
 
 	override onResponseEnd(): void {
 		if (this.#isStreaming) {
-			this.#options.listener.onStreamEnd();
+			this.#options.listener.onStreamEnd(this);
 		}
 
 		this.#end(this.#determineOutcome(), undefined);
@@ -124,7 +128,7 @@
 
 	override onFailed(wasSent: boolean, reason: string): void {
 		if (this.#isStreaming) {
-			this.#options.listener.onStreamAborted();
+			this.#options.listener.onStreamAborted(this);
 		}
 
 		this.#head = undefined;
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -53,6 +53,8 @@
 	>();
 
 	#hasStreamedBody = false;
+	/** Number of the attempt whose response is sent to the caller; no other one may write to it. */
+	#writer: number | undefined;
 
 	constructor(options: ExchangeOptions) {
 		super();
@@ -108,6 +110,10 @@
 			return;
 		}
 
+		if (!this.#tryBecomeWriter(attemptNumber)) {
+			return;
+		}
+
 		const {head, body} = bufferedResponse;
 		if (this.#startResponse(head, body.length)) {
 			this.#options.response.end(body);
@@ -134,32 +140,50 @@
 		});
 	}
 
-	override onStreamStart(head: ResponseHead, firstBytes: Buffer): void {
+	override onStreamStart(
+		attempt: Attempt,
+		head: ResponseHead,
+		firstBytes: Buffer,
+	): void {
+		if (!this.#tryBecomeWriter(attempt.number)) {
+			this.cancelAttempt(attempt.number);
+			return;
+		}
+
+		const {id, onEvent} = this.#options;
+		onEvent({
+			type: 'answer-started',
+			requestId: id,
+			attempt: attempt.number,
+		});
 		if (this.#startResponse(head, undefined)) {
-			this.onStreamData(firstBytes);
+			this.onStreamData(attempt, firstBytes);
 		}
 	}
 
-	override onStreamData(chunk: Buffer): void {
+	override onStreamData(attempt: Attempt, chunk: Buffer): void {
 		const {response} = this.#options;
-		if (response.write(chunk)) {
+		if (!this.#isWriter(attempt) || response.write(chunk)) {
 			return;
 		}
 
-		for (const {attempt, connection} of this.#attempts.values()) {
-			connection.pause(attempt);
-			response.once('drain', () => {
-				connection.resume(attempt);
-			});
-		}
+		const connection = this.#attempts.get(attempt.number)?.connection;
+		connection?.pause(attempt);
+		response.once('drain', () => {
+			connection?.resume(attempt);
+		});
 	}
 
-	override onStreamEnd(): void {
-		this.#options.response.end();
+	override onStreamEnd(attempt: Attempt): void {
+		if (this.#isWriter(attempt)) {
+			this.#options.response.end();
+		}
 	}
 
-	override onStreamAborted(): void {
-		this.#options.response.destroy();
+	override onStreamAborted(attempt: Attempt): void {
+		if (this.#isWriter(attempt)) {
+			this.#options.response.destroy();
+		}
 	}
 
 	override onEnded(attempt: Attempt, result: AttemptResult): void {
@@ -184,6 +208,16 @@
 		onEvent(ended);
 	}
 
+	#isWriter({number}: Attempt): boolean {
+		return this.#writer === number;
+	}
+
+	/** Returns whether the response to the caller is free for the attempt. */
+	#tryBecomeWriter(attemptNumber: number): boolean {
+		this.#writer ??= attemptNumber;
+		return this.#writer === attemptNumber;
+	}
+
 	async #streamBody(
 		connection: ServerConnection,
 		attempt: Attempt,
--- a/packages/steering/__tests__/requests.test.ts
+++ b/packages/steering/__tests__/requests.test.ts
@@ -85,6 +85,22 @@
 		]);
 	});
 
+	it('is not sent to another server once its answer has started', () => {
+		const session = new KernelSession();
+		const longTimeout = createConfiguration({
+			routes: [createRoute({timeoutMs: 10_000})],
+		});
+		session.start(twoServers, longTimeout);
+		const {id} = session.send({timeLeft: 10_000});
+		session.handle({type: 'answer-started', requestId: id, attempt: 1});
+		expect(listDecisions(session.wait(5000))).toEqual([]);
+		const effects = session.endAttempt(id, 1, {
+			isAnswerBuffered: false,
+			isReplayable: false,
+		});
+		expect(listDecisions(effects)).toEqual([]);
+	});
+
 	it('is not reported as not run once a server may have run it', () => {
 		const session = new KernelSession();
 		session.start(twoServers);
--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -92,6 +92,7 @@
 			triedServers: new Set(),
 			possibleRuns: 0,
 			attempt: 0,
+			isAnswerStarted: false,
 			placement: undefined,
 			waitingSince: undefined,
 			cachedAt: undefined,
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -74,6 +74,12 @@
 export type SteeringEvent =
 	| SteeringArrival
 	| SteeringAttemptEnded
+	/** The first bytes of an answer that is not buffered are sent to the caller. */
+	| {
+			readonly type: 'answer-started';
+			readonly requestId: RequestId;
+			readonly attempt: number;
+	  }
 	/** The caller closed its connection. */
 	| {readonly type: 'request-cancelled'; readonly requestId: RequestId}
 	/** The configuration was read from the store or fetched from another host. */
--- a/packages/steering/src/live-request.ts
+++ b/packages/steering/src/live-request.ts
@@ -22,6 +22,8 @@
 	/** Number of attempts that may have run the request. */
 	possibleRuns: number;
 	attempt: number;
+	/** Whether the caller has received a part of the answer of the current attempt. */
+	isAnswerStarted: boolean;
 	placement: Placement | undefined;
 	waitingSince: Milliseconds | undefined;
 	/** When the object that the request waits for should be cached; undefined: it waits for capacity only. */
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -83,6 +83,14 @@
 		this.#placeOrQueue(request, context);
 	}
 
+	/** From here on, the request is not sent to another server. */
+	onAnswerStarted(requestId: RequestId, attempt: number): void {
+		const request = this.#requests.get(requestId);
+		if (request?.attempt === attempt) {
+			request.isAnswerStarted = true;
+		}
+	}
+
 	onAttemptEnded(ended: SteeringAttemptEnded, context: SteeringContext): void {
 		const request = this.#requests.get(ended.requestId);
 		if (request?.placement === undefined || request.attempt !== ended.attempt) {
--- a/packages/steering/src/requests-plugin.ts
+++ b/packages/steering/src/requests-plugin.ts
@@ -32,6 +32,9 @@
 		kernel.on('request-arrived', (event, context) => {
 			lifecycle.onArrived(event, context);
 		});
+		kernel.on('answer-started', ({requestId, attempt}) => {
+			lifecycle.onAnswerStarted(requestId, attempt);
+		});
 		kernel.on('attempt-ended', (event, context) => {
 			lifecycle.onAttemptEnded(event, context);
 		});
--- a/packages/steering/src/wait-limits.ts
+++ b/packages/steering/src/wait-limits.ts
@@ -34,10 +34,10 @@
 
 	/** Whether an idempotent request should be moved because its server takes too long. */
 	isOverdue(
-		{route, placement, possibleRuns, deadline}: LiveRequest,
+		{route, placement, possibleRuns, deadline, isAnswerStarted}: LiveRequest,
 		now: Milliseconds,
 	): boolean {
-		if (placement === undefined || !route.isIdempotent) {
+		if (placement === undefined || !route.isIdempotent || isAnswerStarted) {
 			return false;
 		}
 
