Send a body that is streamed to a server behind its head

Cause: a connection keeps the head until it is established, but wrote the parts of the body to the connecting socket at once, which sends them in that order.

Change: what is written before the connection is established follows the head; the sender waits until then. Waiting senders are also notified when the connection closes; before, they waited for ever, and the rest of the caller's body was never read.

--- a/packages/entry/__tests__/server-connections.test.ts
+++ b/packages/entry/__tests__/server-connections.test.ts
@@ -432,6 +432,47 @@
 	});
 });
 
+describe('a body that is sent in parts', {timeout: 5000}, () => {
+	it('follows its head on a connection that is not established yet', async () => {
+		const {server, target, connections} = await createFixture(
+			({socket, header}) => {
+				socket.write(formatResponse(header('x-id')));
+			},
+		);
+		const exchange = new RecordingExchange('1');
+		const parts = ['a', 'b', 'c'].map((letter) => letter.repeat(100_000));
+		const head =
+			'POST / HTTP/1.1\r\nhost: h\r\nx-id: 1\r\ncontent-length: 300000\r\n\r\n';
+		const connection = connections.acquire(target, false);
+		connection.send(exchange, Buffer.from(head), false);
+		for (const part of parts) {
+			if (!connection.write(Buffer.from(part))) {
+				await new Promise<void>((resolve) => {
+					connection.onDrain(resolve);
+				});
+			}
+		}
+
+		connection.endBody();
+		expect(await exchange.result).toEqual(completeResponse);
+		expect(server.requests[0]!.text).toEqual(head + parts.join(''));
+	});
+
+	it('is not held up by a connection that is closed', async () => {
+		const {target, connections} = await createFixture(() => undefined);
+		const exchange = new RecordingExchange('1');
+		const connection = connections.acquire(target, false);
+		connection.send(exchange, Buffer.from('POST / HTTP/1.1\r\n'), false);
+		expect(connection.write(Buffer.from('a'))).toEqual(false);
+		const drained = new Promise<void>((resolve) => {
+			connection.onDrain(resolve);
+		});
+		connection.close();
+		await drained;
+		expect(connection.write(Buffer.from('b'))).toEqual(true);
+	});
+});
+
 describe('a request', () => {
 	it('to an unreachable server was not sent', async () => {
 		const {server, send} = await createFixture(() => undefined);
--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -1,4 +1,4 @@
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
 import {
@@ -54,7 +54,9 @@
 	readonly #parser = new ResponseParser(this);
 	readonly #openedAt: Milliseconds;
 	#exchange: ServerExchange | undefined;
+	/** The request, as long as none of it has been written to the socket. */
 	#request: Buffer | undefined;
+	readonly #drainListeners: Array<() => void> = [];
 	#hasSentBytes = false;
 	#isRequestComplete = false;
 	#isClosed = false;
@@ -82,6 +84,9 @@
 		this.#socket.on('data', (bytes) => {
 			this.#onData(bytes);
 		});
+		this.#socket.on('drain', () => {
+			this.#notifyDrained();
+		});
 		this.#socket.on('end', () => {
 			this.#onSocketEnd();
 		});
@@ -115,13 +120,31 @@
 		}
 	}
 
-	/** Sends a part of the body; false: wait for `onDrain` before the next one. */
+	/**
+	 * Sends a part of the body, or discards it if the connection is closed; false:
+	 * wait for `onDrain` before the next one.
+	 */
 	write(chunk: Buffer): boolean {
-		return this.#isClosed || this.#socket.write(chunk);
+		if (this.#isClosed) {
+			return true;
+		}
+
+		if (this.#request !== undefined) {
+			// Not connected yet; a socket would send the part before the head.
+			this.#request = Buffer.concat([this.#request, chunk]);
+			return false;
+		}
+
+		return this.#socket.write(chunk);
 	}
 
+	/** Calls the listener once when more can be written, or the connection is closed. */
 	onDrain(listener: () => void): void {
-		this.#socket.once('drain', listener);
+		if (this.#isClosed) {
+			listener();
+		} else {
+			this.#drainListeners.push(listener);
+		}
 	}
 
 	/** Marks the body sent with `write` as complete. */
@@ -199,8 +222,17 @@
 		this.#exchange?.onConnected(roundTripTime);
 		if (this.#request !== undefined && !this.#isClosed) {
 			this.#hasSentBytes = true;
-			this.#socket.write(this.#request);
+			const canContinue = this.#socket.write(this.#request);
 			this.#request = undefined;
+			if (canContinue) {
+				this.#notifyDrained();
+			}
+		}
+	}
+
+	#notifyDrained(): void {
+		for (const listener of this.#drainListeners.splice(0)) {
+			listener();
 		}
 	}
 
@@ -260,6 +292,7 @@
 		this.#isClosed = true;
 		this.#socket.destroy();
 		this.#options.onClosed(this);
+		this.#notifyDrained();
 		const exchange = this.#exchange;
 		this.#exchange = undefined;
 		exchange?.onFailed(this.#hasSentBytes, reason);
