Keep connections open in a stop while the end of an answer is queued on one

Cause: Node.js takes a connection for idle once `response.end()` was called, though bytes are queued; `closeIdleConnections`, and `close` of the HTTP server, which calls it, cut them.

Change: while the end of any answer is queued, the stop closes no idle connection; requests that come on one are refused as not run, as before. Listening ends through `net.Server`, which closes none.

--- a/packages/entry/__tests__/exchange.test.ts
+++ b/packages/entry/__tests__/exchange.test.ts
@@ -13,15 +13,12 @@
 import {CallerRequestReader} from '../src/caller-request.js';
 import {Exchange} from '../src/exchange.js';
 import {RequestBody} from '../src/request-body.js';
-import {ServerConnections} from '../src/server-connections.js';
-import type {
-	ServerConnection,
-	ServerExchange,
-} from '../src/server-connection.js';
+import type {ServerExchange} from '../src/server-connection.js';
 import {
 	createServer as createBackendServer,
 	headerNames,
 } from './support/attempt-options.js';
+import {FakeConnections} from './support/fake-connections.js';
 
 /** Fails a test whose caller waits for an answer that does not come. */
 const testTimeoutMs = 5000;
@@ -45,25 +42,6 @@
 	callerServer.closeAllConnections();
 });
 
-/** Connections that respond to each request by calling `respond`. */
-class FakeConnections extends ServerConnections {
-	constructor(readonly respond: (exchange: ServerExchange) => void) {
-		super(createManualClock(0), headerNames.requestId);
-	}
-
-	override acquire(): ServerConnection {
-		const connection: Partial<ServerConnection> = {
-			send: (exchange) => {
-				this.respond(exchange);
-			},
-			pause: () => undefined,
-			resume: () => undefined,
-			close: () => undefined,
-		};
-		return connection as ServerConnection;
-	}
-}
-
 /**
  * Forwards one caller's request once for each function, which plays its server;
  * returns how it ended for the caller and the errors logged.
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -5,6 +5,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {RequestPipelines} from '@parsleyvale/pipelining';
 import {
 	ErrorKind,
@@ -44,8 +45,9 @@
 	readonly #server: Server;
 	readonly #pipelines: RequestPipelines;
 	readonly #exchanges = new Map<string, Exchange>();
+	/** Responses that have not been sent completely. */
+	readonly #openResponses = new Set<ServerResponse>();
 	#maximumBodyBytes = defaultMaximumBodyBytes;
-	#openRequestCount = 0;
 
 	constructor(options: CallerServerOptions) {
 		this.#options = options;
@@ -70,7 +72,7 @@
 
 	/** Number of requests whose response has not been sent yet. */
 	get openRequestCount(): number {
-		return this.#openRequestCount;
+		return this.#openResponses.size;
 	}
 
 	async listen(): Promise<void> {
@@ -98,13 +100,23 @@
 
 	/** Stops accepting connections and closes the idle ones. */
 	stopListening(): void {
-		this.#server.close();
-		this.#server.closeIdleConnections();
+		// The method of the HTTP server would also close connections with queued bytes.
+		NetServer.prototype.close.call(this.#server);
+		this.closeIdle();
 	}
 
-	/** Closes connections without an open request. */
+	/**
+	 * Closes connections without an open request. Node.js takes a connection for idle
+	 * while the end of a response is still queued for a slow caller; meanwhile, all
+	 * idle connections stay open.
+	 */
 	closeIdle(): void {
-		this.#server.closeIdleConnections();
+		const isQueued = [...this.#openResponses].some(
+			(response) => response.writableEnded,
+		);
+		if (!isQueued) {
+			this.#server.closeIdleConnections();
+		}
 	}
 
 	close(): void {
@@ -118,9 +130,9 @@
 		arrivedAt: Milliseconds,
 	): Promise<void> {
 		const id = randomUUID();
-		this.#openRequestCount += 1;
+		this.#openResponses.add(response);
 		response.once('close', () => {
-			this.#openRequestCount -= 1;
+			this.#openResponses.delete(response);
 			this.#exchanges.delete(id);
 		});
 		request.on('error', () => {
