Read the rest of a refused upload, so that the next request is answered

Cause: a host reads the first MiB and pauses the request; a refused one was never read on.

Change: after the answer the rest is read and dropped, up to the limit on bodies; beyond it the connection is closed.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -180,6 +180,11 @@
 			shouldCloseConnection: () => this.#pipelines.shouldClose(response),
 		});
 		this.#exchanges.set(id, exchange);
+		response.once('finish', () => {
+			if (bodyResult === 'long') {
+				body.discardRest(this.#maximumBodyBytes);
+			}
+		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				// Makes the exchange available to the effects that cancel its attempts.
--- a/packages/entry/src/request-body.ts
+++ b/packages/entry/src/request-body.ts
@@ -20,6 +20,7 @@
 	readonly #request: IncomingMessage;
 	#chunks: Buffer[] = [];
 	#length = 0;
+	#isRestRead = false;
 
 	constructor(request: IncomingMessage) {
 		this.#request = request;
@@ -73,8 +74,30 @@
 	/** Discards the buffer and yields the rest of a long body. */
 	async *readRest(): AsyncGenerator<Buffer> {
 		this.#chunks = [];
+		this.#isRestRead = true;
 		for await (const chunk of this.#request) {
 			yield chunk as Buffer;
 		}
 	}
+
+	/**
+	 * Reads and drops the rest of a long body that nothing else reads, so that the next
+	 * request on its connection can be read. Closes the connection if the body exceeds
+	 * `maximumBytes`.
+	 */
+	discardRest(maximumBytes: number): void {
+		if (this.#isRestRead) {
+			return;
+		}
+
+		this.#isRestRead = true;
+		this.#chunks = [];
+		this.#request.on('data', (chunk: Buffer) => {
+			this.#length += chunk.length;
+			if (this.#length > maximumBytes) {
+				this.#request.destroy();
+			}
+		});
+		this.#request.resume();
+	}
 }
