--- a/packages/platform/src/store-http-client.ts
+++ b/packages/platform/src/store-http-client.ts
@@ -1,5 +1,10 @@
 import {Buffer} from 'node:buffer';
-import {Agent, request, type IncomingMessage} from 'node:http';
+import {
+	Agent,
+	request,
+	type IncomingHttpHeaders,
+	type IncomingMessage,
+} from 'node:http';
 import {ByteCollector} from '@parsleyvale/held-bytes';
 import type {Milliseconds} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
@@ -18,6 +23,7 @@
 /** A response of the store; the value is undefined if the body is empty. */
 export type StoreResponse = {
 	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
 	readonly value: unknown;
 };
 
@@ -69,7 +75,7 @@
 
 			return rejectionStatuses.has(status)
 				? Result.err(StoreError.Refused)
-				: parseResponse(status, text);
+				: parseResponse(status, response.headers, text);
 		} catch (error) {
 			return Result.err(toStoreError(error));
 		}
@@ -138,14 +144,15 @@
 
 function parseResponse(
 	status: number,
+	headers: IncomingHttpHeaders,
 	text: string,
 ): Result<StoreResponse, StoreError> {
 	if (text === '') {
-		return Result.ok({status, value: undefined});
+		return Result.ok({status, headers, value: undefined});
 	}
 
 	try {
-		return Result.ok({status, value: JSON.parse(text) as unknown});
+		return Result.ok({status, headers, value: JSON.parse(text) as unknown});
 	} catch {
 		return Result.err(StoreError.MalformedAnswer);
 	}
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -120,6 +120,7 @@
 		context: SteeringContext,
 	): void {
 		const {serverTable, members, storeOutage} = this.#hostState;
+		this.#logOutdatedLists(snapshot, context);
 		const changes = serverTable.apply(
 			snapshot,
 			context.now,
@@ -131,6 +132,24 @@
 		this.#logChanges(changes, snapshot.revision, context);
 	}
 
+	#logOutdatedLists(
+		{revision, evacuationsRevision}: SteeringEventOf<'fleet-listed'>,
+		context: SteeringContext,
+	): void {
+		const {serverTable} = this.#hostState;
+		if (
+			revision < serverTable.revision ||
+			evacuationsRevision < serverTable.evacuationsRevision
+		) {
+			log(context, 'outdated list discarded', {
+				servers: revision,
+				knownServers: serverTable.revision,
+				evacuations: evacuationsRevision,
+				knownEvacuations: serverTable.evacuationsRevision,
+			});
+		}
+	}
+
 	#logChanges(
 		changes: readonly ServerChange[],
 		revision: number,
