--- a/packages/soak/src/store-stand-in.ts
+++ b/packages/soak/src/store-stand-in.ts
@@ -52,10 +52,12 @@
 	pageSize = 500;
 	readonly #server: Server;
 	readonly #objects = new Map<string, Map<string, StoredObject>>();
-	readonly #changes: Change[] = [];
+	#changes: Change[] = [];
 	readonly #watchers = new Set<() => void>();
 	#revision = 1;
 	#copy: StoreState | undefined;
+	#backup: StoreState | undefined;
+	#era = 1;
 	#oldestRevision = 0;
 
 	constructor() {
@@ -88,6 +90,10 @@
 		return this.#objects.get(kind)?.get(name);
 	}
 
+	listNames(kind: string): readonly string[] {
+		return [...(this.#objects.get(kind)?.keys() ?? [])];
+	}
+
 	/** Creates or replaces an object, as an operator or a server would. */
 	put(kind: string, name: string, spec: unknown): void {
 		this.#revision += 1;
@@ -123,12 +129,34 @@
 
 	/** Keeps the current state as the copy from which serializable lists are answered. */
 	takeCopy(): void {
-		this.#copy = {
-			revision: this.#revision,
-			objects: new Map(
-				[...this.#objects].map(([kind, objects]) => [kind, new Map(objects)]),
-			),
-		};
+		this.#copy = this.#copyState();
+	}
+
+	/** Keeps the current state as the backup from which the store can return. */
+	takeBackup(): void {
+		this.#backup = this.#copyState();
+	}
+
+	/**
+	 * Returns from the backup in a new era: what was written since is lost, and its
+	 * revisions are given out again. Watches from one of these receive 410; those that
+	 * wait are cut off.
+	 */
+	restoreBackup(): void {
+		const {revision, objects} = this.#backup ?? this.#copyState();
+		this.#era += 1;
+		this.#revision = revision;
+		this.#objects.clear();
+		for (const [kind, objectsOfKind] of objects) {
+			this.#objects.set(kind, new Map(objectsOfKind));
+		}
+
+		this.#changes = this.#changes.filter(
+			(change) => change.revision <= revision,
+		);
+		this.#copy = undefined;
+		this.#watchers.clear();
+		this.#server.closeAllConnections();
 	}
 
 	/** Discards the change history; watches from an earlier revision receive 410. */
@@ -139,6 +167,15 @@
 		this.#notifyWatchers();
 	}
 
+	#copyState(): StoreState {
+		return {
+			revision: this.#revision,
+			objects: new Map(
+				[...this.#objects].map(([kind, objects]) => [kind, new Map(objects)]),
+			),
+		};
+	}
+
 	#recordChange(change: Change): void {
 		this.#changes.push(change);
 		this.#notifyWatchers();
@@ -162,6 +199,7 @@
 		const url = new URL(request.url ?? '/', 'http://store');
 		const [kind = '', name] = url.pathname.split('/').slice(3);
 		this.calls.push(`${request.method} ${url.pathname}`);
+		response.setHeader('store-era', this.#era);
 		if (this.mode === 'silent') {
 			return;
 		}
@@ -253,7 +291,10 @@
 		response: ServerResponse,
 	): void {
 		const tryRespond = (isTimedOut: boolean): boolean => {
-			if (sinceRevision < this.#oldestRevision) {
+			if (
+				sinceRevision < this.#oldestRevision ||
+				sinceRevision > this.#revision
+			) {
 				sendJson(response, 410, {error: 'history gone'});
 				return true;
 			}
