Order what the store says by its era and its revision

Cause: lists of servers and of evacuated failure domains were ordered by the store's revision alone, at the host that read them, in digests and in copies between hosts. After a return, revisions are lower, so each list was discarded as outdated until as many changes had been made as were lost.

Lists, digests and copies between hosts carry positions. In a new era a host passes on its whole list, as revisions of the last one no longer say what has changed. Until servers had the time to register again, missing entries are kept, and no drain is taken back, as after an outage.

Ruled out: to reset the known revision when a lower one is seen. A late response or a copy that is seconds old has a lower one, too, and a higher one may belong to the lost history.

--- a/packages/entry/__tests__/digest-codec.test.ts
+++ b/packages/entry/__tests__/digest-codec.test.ts
@@ -35,8 +35,8 @@
 	isReading: false,
 	isStoreLost: false,
 	storeRegainedAgoMs: null,
-	fleetRevision: 2 ** 40 + 1,
-	evacuationsRevision: -1,
+	fleetPosition: {era: 3, revision: 2 ** 40 + 1},
+	evacuationsPosition: {era: 0, revision: -1},
 };
 
 /** The digest that reports only the number of one customer. */
--- a/packages/entry/__tests__/store-view.test.ts
+++ b/packages/entry/__tests__/store-view.test.ts
@@ -1,6 +1,12 @@
 import {describe, it} from 'node:test';
 import {createManualClock} from '@parsleyvale/shared';
-import type {BackendServer, SteeringConfiguration} from '@parsleyvale/steering';
+import {
+	comparePositions,
+	unreadPosition,
+	type BackendServer,
+	type SteeringConfiguration,
+	type StorePosition,
+} from '@parsleyvale/steering';
 import {expect} from 'earl';
 import fc from 'fast-check';
 import {
@@ -53,14 +59,14 @@
 
 function applyServers(
 	view: StoreView,
-	revision: number,
+	position: StorePosition,
 	servers: readonly BackendServer[],
 ): void {
 	view.apply({
 		type: 'fleet-listed',
-		revision,
+		position,
 		servers,
-		evacuationsRevision: 1,
+		evacuationsPosition: {era: 1, revision: 1},
 		evacuated: [],
 	});
 }
@@ -80,19 +86,22 @@
 
 /** Copies what the source has to the target, as a fetch between two hosts does. */
 function copyState(source: StoreView, target: StoreView): void {
-	const delta = source.createDelta(target.version, target.revision);
-	if (delta === undefined || delta.revision <= target.revision) {
+	const delta = source.createDelta(target.version, target.position);
+	if (
+		delta === undefined ||
+		comparePositions(delta.position, target.position) <= 0
+	) {
 		return;
 	}
 
 	const servers =
 		target.merge(transfer(delta)) ??
-		target.merge(transfer(source.createDelta(-1, -1)!));
-	applyServers(target, delta.revision, servers!);
+		target.merge(transfer(source.createDelta(-1, unreadPosition)!));
+	applyServers(target, delta.position, servers!);
 }
 
 function listServers(view: StoreView): BackendServer[] {
-	const delta = view.createDelta(-1, -1)!;
+	const delta = view.createDelta(-1, unreadPosition)!;
 	return [...view.merge(transfer(delta))!].sort((a, b) =>
 		a.id.localeCompare(b.id),
 	);
@@ -105,16 +114,20 @@
 				createServer(`i-${10_000 + index}`),
 			);
 			const view = createView();
-			applyServers(view, 5, servers);
+			applyServers(view, {era: 1, revision: 5}, servers);
 			const [, ...rest] = servers;
-			applyServers(view, 6, [...rest, createServer('i-20000')]);
-			return JSON.stringify({...view.createDelta(1, 5), checksum: 0}).length;
+			const position = {era: 1, revision: 6};
+			applyServers(view, position, [...rest, createServer('i-20000')]);
+			const delta = view.createDelta(1, {era: 1, revision: 5});
+			return JSON.stringify({...delta, checksum: 0}).length;
 		});
 		expect(sizes[1]).toEqual(sizes[0]);
 	});
 
 	it('bring every host to the same list, whatever it knew before', () => {
 		const step = fc.record({
+			/** Whether the store returned from an older copy before. */
+			isRestored: fc.boolean(),
 			/** Servers by number, each with its slots; the others are not listed. */
 			servers: fc.dictionary(
 				fc.integer({min: 0, max: 12}).map(String),
@@ -128,10 +141,15 @@
 			fc.property(fc.array(step, {minLength: 1, maxLength: 12}), (steps) => {
 				const views = [0, 1, 2, 3].map(() => createView());
 				const [reader] = views;
-				for (const [index, {servers, copies}] of steps.entries()) {
+				let position = {era: 1, revision: 0};
+				for (const {isRestored, servers, copies} of steps) {
+					const {era, revision} = position;
+					position = isRestored
+						? {era: era + 1, revision: Math.floor(revision / 20) * 10}
+						: {era, revision: revision + 10};
 					applyServers(
 						reader!,
-						(index + 1) * 10,
+						position,
 						Object.entries(servers).map(([id, slots]) =>
 							reverseFields(createServer(id, slots)),
 						),
@@ -156,11 +174,12 @@
 		const servers = Array.from({length: 3000}, (_, index) =>
 			createServer(`i-${index}`),
 		);
-		applyServers(view, 1, servers);
+		applyServers(view, {era: 1, revision: 1}, servers);
 		copyState(view, target);
 		for (let removed = 1; removed <= 2000; removed++) {
 			if (removed % 100 === 0) {
-				applyServers(view, removed + 1, servers.slice(removed));
+				const position = {era: 1, revision: removed + 1};
+				applyServers(view, position, servers.slice(removed));
 			}
 		}
 
--- a/packages/entry/src/digest-codec.ts
+++ b/packages/entry/src/digest-codec.ts
@@ -28,9 +28,14 @@
 	encode(digest: Digest): Uint8Array {
 		const {requestsPerSecond, configurationAgeMs, inFlight} = digest;
 		const {customers, servers, rateLimits} = digest;
-		const {handled, firstWork, ...common} = digest;
+		const {handled, firstWork, fleetPosition, evacuationsPosition, ...common} =
+			digest;
 		return parsleyvale.entry.DigestMessage.encode({
 			...common,
+			fleetEra: fleetPosition.era,
+			fleetRevision: fleetPosition.revision,
+			evacuationsEra: evacuationsPosition.era,
+			evacuationsRevision: evacuationsPosition.revision,
 			requestsPerTenSeconds: toWholeRate(requestsPerSecond),
 			configurationAgeMs:
 				configurationAgeMs === null ? null : Math.max(0, configurationAgeMs),
@@ -74,8 +79,14 @@
 			isReading: message.isReading,
 			isStoreLost: message.isStoreLost,
 			storeRegainedAgoMs: message.storeRegainedAgoMs ?? null,
-			fleetRevision: message.fleetRevision,
-			evacuationsRevision: message.evacuationsRevision,
+			fleetPosition: {
+				era: message.fleetEra,
+				revision: message.fleetRevision,
+			},
+			evacuationsPosition: {
+				era: message.evacuationsEra,
+				revision: message.evacuationsRevision,
+			},
 			...(load && this.#toLoad(load)),
 			...(customers && {customers: toCounts(customers, this.#customers)}),
 			...(servers && {servers: toCounts(servers, this.#servers)}),
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -7,8 +7,11 @@
 	type Milliseconds,
 } from '@parsleyvale/shared';
 import {
+	comparePositions,
 	computeAcceptPeriod,
 	createSteering,
+	formatPosition,
+	unreadPosition,
 	type SteeringEffect,
 	type SteeringEvent,
 	type SteeringKernel,
@@ -127,8 +130,8 @@
 			onDigest: (digest) => {
 				this.handle({type: 'digest-received', digest});
 			},
-			getDelta: (version, revision) =>
-				this.#storeView.createDelta(version, revision),
+			getDelta: (version, position) =>
+				this.#storeView.createDelta(version, position),
 			onError(message, reason) {
 				options.log.log('failure', message, {reason});
 			},
@@ -142,7 +145,7 @@
 		return (
 			!this.#isStopping &&
 			this.#storeView.configuration !== undefined &&
-			this.#storeView.revision >= 0
+			this.#storeView.hasServers
 		);
 	}
 
@@ -273,11 +276,11 @@
 
 	async #fetchDelta(
 		peer: Endpoint,
-		revision = this.#storeView.revision,
+		position = this.#storeView.position,
 	): Promise<void> {
 		const requestedAt = this.#clock.now();
 		const {version} = this.#storeView;
-		const delta = await this.#peerTransport.fetchDelta(peer, version, revision);
+		const delta = await this.#peerTransport.fetchDelta(peer, version, position);
 		if (delta === undefined) {
 			return;
 		}
@@ -297,28 +300,31 @@
 		}
 
 		const isNewer =
-			delta.revision > this.#storeView.revision ||
-			delta.evacuationsRevision > this.#storeView.evacuationsRevision;
+			comparePositions(delta.position, this.#storeView.position) > 0 ||
+			comparePositions(
+				delta.evacuationsPosition,
+				this.#storeView.evacuationsPosition,
+			) > 0;
 		if (!isNewer) {
 			return;
 		}
 
 		const servers = this.#storeView.merge(delta);
 		if (servers !== undefined) {
-			const {revision: newRevision, evacuationsRevision, evacuated} = delta;
+			const {evacuationsPosition, evacuated} = delta;
 			this.handle({
 				type: 'fleet-listed',
-				revision: newRevision,
+				position: delta.position,
 				servers,
-				evacuationsRevision,
+				evacuationsPosition,
 				evacuated,
 			});
-		} else if (revision >= 0) {
+		} else if (position.revision >= 0) {
 			this.#options.log.log('belief', 'list of servers differs from peer', {
-				revision,
-				peerRevision: delta.revision,
+				position: formatPosition(position),
+				peerPosition: formatPosition(delta.position),
 			});
-			await this.#fetchDelta(peer, -1);
+			await this.#fetchDelta(peer, unreadPosition);
 		}
 	}
 
--- a/packages/entry/src/peer-transport.ts
+++ b/packages/entry/src/peer-transport.ts
@@ -8,7 +8,7 @@
 	type Endpoint,
 	type Milliseconds,
 } from '@parsleyvale/shared';
-import type {Digest, SteeringHost} from '@parsleyvale/steering';
+import type {Digest, SteeringHost, StorePosition} from '@parsleyvale/steering';
 import {copyEncoding, encodeCopy, parseCopyText} from './copy-encoding.js';
 import type {DigestCodec} from './digest-codec.js';
 import {storeDeltaSchema, type StoreDelta} from './store-view.js';
@@ -25,10 +25,10 @@
 	readonly endpoint: Endpoint;
 	readonly codec: DigestCodec;
 	readonly onDigest: (digest: Digest) => void;
-	/** Returns the changes after a version and revision; undefined: the store has not been read yet. */
+	/** Returns the changes after a version and position; undefined: the store has not been read yet. */
 	readonly getDelta: (
 		version: number,
-		revision: number,
+		position: StorePosition,
 	) => StoreDelta | undefined;
 	readonly onError: (message: string, reason: string) => void;
 };
@@ -68,8 +68,10 @@
 				}
 
 				const version = Number(url.searchParams.get('version') ?? -1);
-				const revision = Number(url.searchParams.get('revision') ?? -1);
-				const delta = options.getDelta(version, revision);
+				const delta = options.getDelta(version, {
+					era: Number(url.searchParams.get('era') ?? 0),
+					revision: Number(url.searchParams.get('revision') ?? -1),
+				});
 				response.statusCode = delta === undefined ? 503 : 200;
 				response.setHeader('content-type', 'application/json');
 				const {bytes, encoding} = encodeCopy(
@@ -111,13 +113,13 @@
 		}
 	}
 
-	/** Fetches the changes that another host has after a version and revision; undefined on failure. */
+	/** Fetches the changes that another host has after a version and position; undefined on failure. */
 	async fetchDelta(
 		{address, port}: Endpoint,
 		version: number,
-		revision: number,
+		{era, revision}: StorePosition,
 	): Promise<StoreDelta | undefined> {
-		const query = `?version=${version}&revision=${revision}`;
+		const query = `?version=${version}&era=${era}&revision=${revision}`;
 		const copy = await this.#get({address, port}, `${deltaPath}${query}`);
 		if (copy === undefined) {
 			return undefined;
--- a/packages/entry/src/store-view.ts
+++ b/packages/entry/src/store-view.ts
@@ -1,12 +1,16 @@
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
 import {
 	backendServerSchema,
+	comparePositions,
 	computeHash,
 	steeringConfigurationSchema,
+	storePositionSchema,
+	unreadPosition,
 	type BackendServer,
 	type SteeringConfiguration,
 	type SteeringEvent,
 	type SteeringEventOf,
+	type StorePosition,
 } from '@parsleyvale/steering';
 import * as z from 'zod';
 
@@ -17,17 +21,17 @@
 	configuration: steeringConfigurationSchema.optional(),
 	/** Time since the version was last known to be the newest; null: not known. */
 	configurationAgeMs: z.number().nullable(),
-	/** Store revision of the servers. */
-	revision: z.int(),
-	/** Servers that changed after the requesting host's revision. */
+	/** Position of the servers. */
+	position: storePositionSchema,
+	/** Servers that changed after the requesting host's position. */
 	changed: z.array(backendServerSchema),
 	/** Whether `changed` contains all servers, rather than those to merge into the known ones. */
 	isWhole: z.boolean(),
-	/** Ids of servers that were removed after the requesting host's revision. */
+	/** Ids of servers that were removed after the requesting host's position. */
 	removed: z.array(z.string()),
 	/** Checksum of all servers, with which the merged list must agree. */
 	checksum: z.int(),
-	evacuationsRevision: z.int(),
+	evacuationsPosition: storePositionSchema,
 	evacuated: z.array(z.string()),
 });
 
@@ -36,7 +40,7 @@
 type ServerEntry = {
 	readonly server: BackendServer;
 	readonly hash: number;
-	/** Revision of the list in which this host first saw the entry. */
+	/** Revision of the list in which this host first saw the entry, in the current era. */
 	readonly revision: number;
 };
 
@@ -48,13 +52,13 @@
 	readonly #clock: Clock;
 	#configuration: SteeringConfiguration | undefined;
 	#confirmedAt: Milliseconds | undefined;
-	#revision = -1;
+	#position = unreadPosition;
 	#servers = new Map<string, ServerEntry>();
 	/** Ids of removed servers with the revisions of the lists without them, oldest first. */
 	readonly #removals = new Map<string, number>();
-	/** Revision from which on all removals are remembered. */
+	/** Revision of the current era from which on all removals are remembered. */
 	#removalsKnownSince = Number.POSITIVE_INFINITY;
-	#evacuationsRevision = -1;
+	#evacuationsPosition = unreadPosition;
 	#evacuated: readonly string[] = [];
 
 	constructor(clock: Clock) {
@@ -69,12 +73,18 @@
 		return this.#configuration?.version ?? -1;
 	}
 
-	get revision(): number {
-		return this.#revision;
+	/** Position of the servers. */
+	get position(): StorePosition {
+		return this.#position;
 	}
 
-	get evacuationsRevision(): number {
-		return this.#evacuationsRevision;
+	get evacuationsPosition(): StorePosition {
+		return this.#evacuationsPosition;
+	}
+
+	/** Whether servers have been read, directly or through another host. */
+	get hasServers(): boolean {
+		return this.#position.revision >= 0;
 	}
 
 	get serverCount(): number {
@@ -113,34 +123,36 @@
 		}
 	}
 
-	/** Creates the delta for a host with a known version and revision; undefined: the store has not been read yet. */
+	/** Creates the delta for a host with a known version and position; undefined: the store has not been read yet. */
 	createDelta(
 		knownVersion: number,
-		knownRevision: number,
+		known: StorePosition,
 	): StoreDelta | undefined {
-		if (this.#configuration === undefined || this.#revision < 0) {
+		if (this.#configuration === undefined || !this.hasServers) {
 			return undefined;
 		}
 
 		const entries = [...this.#servers.values()];
-		const isWhole = knownRevision < this.#removalsKnownSince;
+		const {era} = this.#position;
+		const isWhole =
+			known.era !== era || known.revision < this.#removalsKnownSince;
 		return {
 			version: this.version,
 			configuration:
 				this.version > knownVersion ? this.#configuration : undefined,
 			configurationAgeMs: this.configurationAge ?? null,
-			revision: this.#revision,
+			position: this.#position,
 			changed: entries
-				.filter((entry) => isWhole || entry.revision > knownRevision)
+				.filter((entry) => isWhole || entry.revision > known.revision)
 				.map(({server}) => server),
 			isWhole,
 			removed: isWhole
 				? []
 				: [...this.#removals.keys()].filter(
-						(id) => this.#removals.get(id)! > knownRevision,
+						(id) => this.#removals.get(id)! > known.revision,
 					),
 			checksum: computeChecksum(entries),
-			evacuationsRevision: this.#evacuationsRevision,
+			evacuationsPosition: this.#evacuationsPosition,
 			evacuated: [...this.#evacuated],
 		};
 	}
@@ -162,7 +174,7 @@
 		}
 
 		for (const server of changed) {
-			servers.set(server.id, createEntry(server, this.#revision));
+			servers.set(server.id, createEntry(server, this.#position.revision));
 		}
 
 		const entries = [...servers.values()];
@@ -196,20 +208,25 @@
 	}
 
 	#applyFleet({
-		revision,
+		position,
 		servers,
-		evacuationsRevision,
+		evacuationsPosition,
 		evacuated,
 	}: SteeringEventOf<'fleet-listed'>): void {
-		if (evacuationsRevision >= this.#evacuationsRevision) {
-			this.#evacuationsRevision = evacuationsRevision;
+		if (comparePositions(evacuationsPosition, this.#evacuationsPosition) >= 0) {
+			this.#evacuationsPosition = evacuationsPosition;
 			this.#evacuated = evacuated;
 		}
 
-		if (revision < this.#revision) {
+		if (comparePositions(position, this.#position) < 0) {
 			return;
 		}
 
+		const {era, revision} = position;
+		if (era !== this.#position.era) {
+			this.#forgetRevisions();
+		}
+
 		const previousServers = this.#servers;
 		this.#servers = new Map(
 			servers.map((server) => {
@@ -221,7 +238,14 @@
 			}),
 		);
 		this.#recordRemovals(previousServers.keys(), revision);
-		this.#revision = revision;
+		this.#position = position;
+	}
+
+	/** In a new era, revisions of the last one no longer say what is newer. */
+	#forgetRevisions(): void {
+		this.#servers = new Map();
+		this.#removals.clear();
+		this.#removalsKnownSince = Number.POSITIVE_INFINITY;
 	}
 
 	#recordRemovals(previousIds: Iterable<string>, revision: number): void {
--- a/packages/steering/__tests__/host-state.test.ts
+++ b/packages/steering/__tests__/host-state.test.ts
@@ -111,9 +111,9 @@
 		expect(listDecisions(session.send().effects)).toEqual(['forward server-2']);
 		session.handle({
 			type: 'fleet-listed',
-			revision: 3,
+			position: {era: 1, revision: 3},
 			servers: [createServer({id: 'server-2'})],
-			evacuationsRevision: 3,
+			evacuationsPosition: {era: 1, revision: 3},
 			evacuated: ['east-a'],
 		});
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
@@ -124,9 +124,9 @@
 		session.start([createServer({})]);
 		session.handle({
 			type: 'fleet-listed',
-			revision: 1,
+			position: {era: 1, revision: 1},
 			servers: [createServer({})],
-			evacuationsRevision: 9,
+			evacuationsPosition: {era: 1, revision: 9},
 			evacuated: [],
 		});
 		session.listServers([createServer({isDraining: true})], 5);
@@ -140,7 +140,11 @@
 		// An active host fetches at once.
 		session.send();
 		session.send();
-		for (const newer of [{fleetRevision: 6}, {evacuationsRevision: 6}]) {
+		const position = {era: 1, revision: 6};
+		for (const newer of [
+			{fleetPosition: position},
+			{evacuationsPosition: position},
+		]) {
 			const digest = createDigest({
 				...newer,
 				sequence: session.clock.now() + 1,
@@ -161,7 +165,7 @@
 			for (let round = 1; round <= 20; round++) {
 				const digest = createDigest({
 					sequence: round,
-					fleetRevision: round + 1,
+					fleetPosition: {era: 1, revision: round + 1},
 					requestsPerSecond: 5,
 				});
 				session.handle({type: 'digest-received', digest});
@@ -190,7 +194,10 @@
 		const session = new KernelSession({random: () => 0});
 		session.start([createServer({})]);
 		for (const name of ['silent', 'other']) {
-			const digest = createDigest({name, fleetRevision: 5});
+			const digest = createDigest({
+				name,
+				fleetPosition: {era: 1, revision: 5},
+			});
 			session.handle({type: 'digest-received', digest});
 		}
 
@@ -218,7 +225,7 @@
 				name,
 				failureDomain,
 				region,
-				fleetRevision: 5,
+				fleetPosition: {era: 1, revision: 5},
 			});
 			session.handle({type: 'digest-received', digest});
 		}
@@ -236,6 +243,45 @@
 		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
 	});
 
+	it('are replaced by a list with a lower revision after the store returned from an older copy', () => {
+		const session = new KernelSession();
+		session.start([createServer({})]);
+		session.listServers([createServer({})], 90);
+		session.listServers([createServer({isDraining: true})], 5, 2);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+		session.listServers([createServer({id: 'server-2'})], 91);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('are fetched from a host that read them after the store returned from an older copy', () => {
+		const session = new KernelSession();
+		session.start([createServer({})]);
+		session.listServers([createServer({})], 90);
+		const position = {era: 2, revision: 5};
+		const digest = createDigest({fleetPosition: position});
+		session.handle({type: 'digest-received', digest});
+		session.clock.advance(800);
+		expect(session.takeEffects('fetch-copy', {type: 'tick'}).length).toEqual(1);
+	});
+
+	it('that are missing in an older copy of the store are kept until they had time to reappear', () => {
+		const session = new KernelSession();
+		session.start([createServer({slots: 100})]);
+		session.listServers([], 1, 2);
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
+		session.wait(2500);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+	});
+
+	it('that drain keep draining if an older copy of the store says otherwise', () => {
+		const session = new KernelSession();
+		session.start([createServer({isDraining: true})]);
+		session.listServers([createServer({})], 1, 2);
+		expect(listDecisions(session.send().effects)).toEqual(['refuse no-server']);
+		session.listServers([createServer({incarnation: '2'})], 2, 2);
+		expect(listDecisions(session.send().effects)).toEqual(['forward server-1']);
+	});
+
 	it('whose entries expired in a store outage are kept until they had time to reappear', () => {
 		const session = new KernelSession();
 		session.start([createServer({slots: 100})]);
--- a/packages/steering/__tests__/leaving-servers.test.ts
+++ b/packages/steering/__tests__/leaving-servers.test.ts
@@ -60,6 +60,18 @@
 	798_216_821,
 ];
 
+/** The store returns from an older copy, in which a server that leaves later has a higher revision. */
+const returnFromCopy: [Outage[], Leave[], number] = [
+	[{from: 8000, duration: 2000, hosts: undefined, copyAge: 2500}],
+	[
+		{at: 14_000, announces: true},
+		{at: 14_500, announces: false},
+		{at: 15_000, announces: true},
+		{at: 7000, announces: true},
+	],
+	1,
+];
+
 /** Returns the requests that reached leaving servers too late. */
 function listLateRequests(
 	outages: readonly Outage[],
@@ -73,6 +85,15 @@
 		outages,
 		seed,
 	});
+	for (const {from, copyAge = 0} of outages) {
+		// More revisions are lost than are given out again.
+		for (let age = 0; age < copyAge; age += 100) {
+			simulation.schedule(from - age, () => {
+				simulation.changeOther();
+			});
+		}
+	}
+
 	const late: string[] = [];
 	const targets = new Set<string | undefined>();
 	for (const [index, {at, announces}] of leaves.entries()) {
@@ -119,6 +140,9 @@
 		const outage = fc.record({
 			from: fc.integer({min: 3000, max: 14_000}),
 			duration: fc.integer({min: 300, max: 9000}),
+			copyAge: fc.option(fc.integer({min: 0, max: 3000}), {
+				nil: undefined,
+			}),
 			hosts: fc.option(
 				fc.uniqueArray(fc.nat({max: hosts.length - 1}), {
 					minLength: 1,
@@ -140,7 +164,12 @@
 					expect(listLateRequests(outages, leaves, seed)).toEqual([]);
 				},
 			),
-			{numRuns: 12, seed: 28, endOnFailure: true, examples: [lateRegain]},
+			{
+				numRuns: 12,
+				seed: 28,
+				endOnFailure: true,
+				examples: [lateRegain, returnFromCopy],
+			},
 		);
 	});
 });
--- a/packages/steering/__tests__/priority-headroom.test.ts
+++ b/packages/steering/__tests__/priority-headroom.test.ts
@@ -53,7 +53,12 @@
 		createServer({id: `server-${index}`, slots}),
 	);
 	hostState.serverTable.apply(
-		{revision: 1, servers, evacuationsRevision: 1, evacuated: []},
+		{
+			position: {era: 1, revision: 1},
+			servers,
+			evacuationsPosition: {era: 1, revision: 1},
+			evacuated: [],
+		},
 		0,
 		0,
 	);
--- a/packages/steering/__tests__/support/fleet-simulation.ts
+++ b/packages/steering/__tests__/support/fleet-simulation.ts
@@ -201,12 +201,13 @@
 
 	/** Sends the list of servers to all hosts, as the store does. */
 	announceServers(revision = 1): void {
+		const position = {era: 1, revision};
 		for (const {kernel} of this.hosts) {
 			this.handle(kernel, {
 				type: 'fleet-listed',
-				revision,
+				position,
 				servers: this.registeredServers,
-				evacuationsRevision: revision,
+				evacuationsPosition: position,
 				evacuated: [],
 			});
 		}
--- a/packages/steering/__tests__/support/kernel-session.ts
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -59,8 +59,8 @@
 		isReading: true,
 		isStoreLost: false,
 		storeRegainedAgoMs: null,
-		fleetRevision: 1,
-		evacuationsRevision: 1,
+		fleetPosition: {era: 1, revision: 1},
+		evacuationsPosition: {era: 1, revision: 1},
 		...values,
 	};
 }
@@ -124,12 +124,14 @@
 	listServers(
 		servers: readonly BackendServer[],
 		revision: number,
+		era = 1,
 	): SteeringEffect[] {
+		const position = {era, revision};
 		return this.handle({
 			type: 'fleet-listed',
-			revision,
+			position,
 			servers,
-			evacuationsRevision: revision,
+			evacuationsPosition: position,
 			evacuated: [],
 		});
 	}
--- a/packages/steering/__tests__/support/store-simulation.ts
+++ b/packages/steering/__tests__/support/store-simulation.ts
@@ -1,7 +1,9 @@
 import {createManualClock, type Milliseconds} from '@parsleyvale/shared';
 import {
 	createSteering,
+	comparePositions,
 	type BackendServer,
+	type StorePosition,
 	type SteeringConfiguration,
 	type SteeringEffect,
 	type SteeringEvent,
@@ -17,6 +19,8 @@
 	readonly duration: Milliseconds;
 	/** Indices of the hosts; undefined: all, and the entries of servers expire. */
 	readonly hosts: readonly number[] | undefined;
+	/** The store returns from a copy that is this much older than the outage; undefined: it loses nothing. */
+	readonly copyAge?: Milliseconds | undefined;
 };
 
 export type StoreSimulationOptions = {
@@ -27,14 +31,20 @@
 	readonly seed: number;
 };
 
+type StoreState = {
+	readonly at: Milliseconds;
+	readonly revision: number;
+	readonly servers: ReadonlyMap<string, BackendServer>;
+};
+
 type FleetList = SteeringEventOf<'fleet-listed'>;
 
 export type ReadingHost = {
 	readonly kernel: SteeringKernel;
 	readonly index: number;
 	isReading: boolean;
-	/** Revision of the last list read from the store; undefined: list again. */
-	readRevision: number | undefined;
+	/** Position of the last list read from the store; undefined: list again. */
+	readPosition: StorePosition | undefined;
 	lastList: FleetList | undefined;
 	nextReadAt: Milliseconds;
 };
@@ -62,6 +72,10 @@
 	readonly #random: () => number;
 	readonly #servers = new Map<string, BackendServer>();
 	readonly #expired = new Set<string>();
+	/** What the servers wrote last, whether the store still has it or not. */
+	readonly #written = new Map<string, BackendServer>();
+	readonly #history: StoreState[] = [];
+	#era = 1;
 	#revision = 1;
 	#requests = 0;
 	#pending: Array<{readonly at: Milliseconds; readonly action: () => void}> =
@@ -72,8 +86,10 @@
 		this.#random = createRandom(options.seed);
 		for (const server of options.servers) {
 			this.#servers.set(server.id, server);
+			this.#written.set(server.id, server);
 		}
 
+		this.#recordState();
 		this.hosts = options.hosts.map((self, index) => ({
 			kernel: createSteering({
 				self,
@@ -95,12 +111,13 @@
 			}),
 			index,
 			isReading: true,
-			readRevision: undefined,
+			readPosition: undefined,
 			lastList: undefined,
 			nextReadAt: Math.round(this.#random() * 300),
 		}));
 		for (const outage of options.outages) {
 			this.#scheduleExpiry(outage);
+			this.#scheduleReturn(outage);
 		}
 
 		for (const {kernel} of this.hosts) {
@@ -114,13 +131,20 @@
 
 	/** Changes the entry of a server, or removes it for good. */
 	change(id: string, server: BackendServer | undefined): void {
-		this.#revision += 1;
 		this.#expired.delete(id);
 		if (server === undefined) {
-			this.#servers.delete(id);
+			this.#written.delete(id);
 		} else {
-			this.#servers.set(id, server);
+			this.#written.set(id, server);
 		}
+
+		this.#write(id, server);
+	}
+
+	/** Changes another object of the store, which raises its revision. */
+	changeOther(): void {
+		this.#revision += 1;
+		this.#recordState();
 	}
 
 	/** Whether an outage affects the host, or one has ended less than `margin` before. */
@@ -196,6 +220,25 @@
 		return forward?.server.id;
 	}
 
+	#write(id: string, server: BackendServer | undefined): void {
+		this.#revision += 1;
+		if (server === undefined) {
+			this.#servers.delete(id);
+		} else {
+			this.#servers.set(id, server);
+		}
+
+		this.#recordState();
+	}
+
+	#recordState(): void {
+		this.#history.push({
+			at: this.clock.now(),
+			revision: this.#revision,
+			servers: new Map(this.#servers),
+		});
+	}
+
 	#scheduleExpiry({from, duration, hosts}: Outage): void {
 		if (hosts !== undefined || duration < 3000) {
 			return;
@@ -205,7 +248,7 @@
 		this.schedule(from + duration - 10, () => {
 			for (const server of this.#servers.values()) {
 				removed.push(server);
-				this.change(server.id, undefined);
+				this.#write(server.id, undefined);
 				this.#expired.add(server.id);
 			}
 		});
@@ -214,16 +257,50 @@
 			() => {
 				for (const server of removed) {
 					if (this.#expired.has(server.id)) {
-						this.change(server.id, server);
+						this.#write(server.id, server);
+						this.#expired.delete(server.id);
 					}
 				}
 			},
 		);
 	}
 
+	/** At the end of the outage, the store has an older state, until the servers have written again. */
+	#scheduleReturn({from, duration, hosts, copyAge}: Outage): void {
+		if (hosts !== undefined || copyAge === undefined) {
+			return;
+		}
+
+		this.schedule(from + duration, () => {
+			const copy = this.#history.findLast(({at}) => at <= from - copyAge)!;
+			this.#era += 1;
+			this.#revision = copy.revision;
+			this.#servers.clear();
+			for (const [id, server] of copy.servers) {
+				this.#servers.set(id, server);
+			}
+
+			this.#recordState();
+		});
+		const writtenAgainAt =
+			from + duration + Math.round(this.#random() * reregistrationDelay);
+		this.schedule(writtenAgainAt, () => {
+			for (const id of new Set([
+				...this.#servers.keys(),
+				...this.#written.keys(),
+			])) {
+				if (this.#servers.get(id) !== this.#written.get(id)) {
+					this.#write(id, this.#written.get(id));
+				}
+			}
+		});
+	}
+
 	#readWhenDue(host: ReadingHost): void {
 		const now = this.clock.now();
-		const hasNews = host.readRevision !== this.#revision;
+		const hasNews =
+			host.readPosition === undefined ||
+			comparePositions(host.readPosition, this.#position) !== 0;
 		const isDue = hasNews
 			? now >= host.nextReadAt - minimumPoll + batchingDelay
 			: now >= host.nextReadAt;
@@ -241,7 +318,7 @@
 
 		host.nextReadAt = now + minimumPoll * (1 + this.#random());
 		const list = this.#createList();
-		host.readRevision = this.#revision;
+		host.readPosition = this.#position;
 		this.schedule(now + storeRoundTrip, () => {
 			this.#deliver(host, list, hasNews);
 		});
@@ -266,12 +343,16 @@
 		}
 	}
 
+	get #position(): StorePosition {
+		return {era: this.#era, revision: this.#revision};
+	}
+
 	#createList(): FleetList {
 		return {
 			type: 'fleet-listed',
-			revision: this.#revision,
+			position: this.#position,
 			servers: [...this.#servers.values()],
-			evacuationsRevision: 1,
+			evacuationsPosition: {era: 1, revision: 1},
 			evacuated: [],
 		};
 	}
@@ -288,7 +369,7 @@
 		switch (effect.type) {
 			case 'set-reading': {
 				if (effect.isReading && !host.isReading) {
-					host.readRevision = undefined;
+					host.readPosition = undefined;
 					host.nextReadAt = this.clock.now();
 				}
 
--- a/packages/steering/src/copy-fetcher.ts
+++ b/packages/steering/src/copy-fetcher.ts
@@ -2,6 +2,7 @@
 import type {Digest} from './messages/digest.js';
 import type {HostState} from './host-state.js';
 import type {Member} from './members.js';
+import {comparePositions, formatPosition} from './store-position.js';
 
 /** Minimum interval between two fetches from other hosts; a fetch takes two round trips. */
 const fetchInterval: Milliseconds = 150;
@@ -85,14 +86,20 @@
 		const {configuration, serverTable} = this.#hostState;
 		return (
 			digest.configurationVersion > configuration.version ||
-			digest.fleetRevision > serverTable.revision ||
-			digest.evacuationsRevision > serverTable.evacuationsRevision
+			comparePositions(digest.fleetPosition, serverTable.position) > 0 ||
+			comparePositions(
+				digest.evacuationsPosition,
+				serverTable.evacuationsPosition,
+			) > 0
 		);
 	}
 
 	#formatState(): string {
 		const {configuration, serverTable} = this.#hostState;
-		const {revision, evacuationsRevision} = serverTable;
-		return `${configuration.version}/${revision}/${evacuationsRevision}`;
+		return [
+			configuration.version,
+			formatPosition(serverTable.position),
+			formatPosition(serverTable.evacuationsPosition),
+		].join(' ');
 	}
 }
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -5,6 +5,7 @@
 	SteeringConfiguration,
 	SteeringHost,
 } from './model.js';
+import type {StorePosition} from './store-position.js';
 
 /** How an attempt at a backend server ended. */
 export type SteeringOutcome =
@@ -107,13 +108,13 @@
 	  }
 	/** A call to the store failed. */
 	| {readonly type: 'store-failed'; readonly reason: string}
-	/** All servers and all evacuated failure domains, at their revisions of the store. */
+	/** All servers and all evacuated failure domains, at their positions of the store. */
 	| {
 			readonly type: 'fleet-listed';
-			readonly revision: number;
+			readonly position: StorePosition;
 			readonly servers: readonly BackendServer[];
-			/** Store revision of the evacuated failure domains. */
-			readonly evacuationsRevision: number;
+			/** Position of the evacuated failure domains. */
+			readonly evacuationsPosition: StorePosition;
 			readonly evacuated: readonly string[];
 	  }
 	| {readonly type: 'hosts-listed'; readonly hosts: readonly SteeringHost[]}
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -9,6 +9,11 @@
 import type {ServerChange} from './servers/server-table.js';
 import {StoreReaders} from './readers.js';
 import type {SteeringSettings} from './settings.js';
+import {
+	comparePositions,
+	formatPosition,
+	type StorePosition,
+} from './store-position.js';
 import type {SteeringContext, SteeringKernel} from './types.js';
 
 /** Upper bound of the time that a digest is in transit: twice the longest network delay with jitter. */
@@ -74,7 +79,7 @@
 			}
 
 			const removed = serverTable.removeMissing(context.now);
-			this.#logChanges(removed, serverTable.revision, context);
+			this.#logChanges(removed, serverTable.position, context);
 			this.#fetchWhenBehind(context);
 			this.#updateReading(context);
 		});
@@ -120,7 +125,14 @@
 		context: SteeringContext,
 	): void {
 		const {serverTable, members, storeOutage} = this.#hostState;
-		this.#logOutdatedLists(snapshot, context);
+		this.#logOutdatedList(snapshot.position, context);
+		if (
+			serverTable.isRead &&
+			snapshot.position.era > serverTable.position.era
+		) {
+			storeOutage.onRestored(context.now);
+		}
+
 		const changes = serverTable.apply(
 			snapshot,
 			context.now,
@@ -129,30 +141,22 @@
 				context.now,
 			),
 		);
-		this.#logChanges(changes, snapshot.revision, context);
+		this.#logChanges(changes, snapshot.position, context);
 	}
 
-	#logOutdatedLists(
-		{revision, evacuationsRevision}: SteeringEventOf<'fleet-listed'>,
-		context: SteeringContext,
-	): void {
-		const {serverTable} = this.#hostState;
-		if (
-			revision < serverTable.revision ||
-			evacuationsRevision < serverTable.evacuationsRevision
-		) {
-			log(context, 'outdated list discarded', {
-				servers: revision,
-				knownServers: serverTable.revision,
-				evacuations: evacuationsRevision,
-				knownEvacuations: serverTable.evacuationsRevision,
+	#logOutdatedList(position: StorePosition, context: SteeringContext): void {
+		const known = this.#hostState.serverTable.position;
+		if (comparePositions(position, known) < 0) {
+			log(context, 'outdated list of servers discarded', {
+				position: formatPosition(position),
+				known: formatPosition(known),
 			});
 		}
 	}
 
 	#logChanges(
 		changes: readonly ServerChange[],
-		revision: number,
+		{era, revision}: StorePosition,
 		context: SteeringContext,
 	): void {
 		const storeRegainedAgoMs =
@@ -164,6 +168,7 @@
 				failureDomain: server.failureDomain,
 				change: kind,
 				coldRemainingMs: server.coldRemainingMs,
+				era,
 				revision,
 				...(kind === 'missing' && storeRegainedAgoMs !== null
 					? {storeRegainedAgoMs}
--- a/packages/steering/src/host-state.ts
+++ b/packages/steering/src/host-state.ts
@@ -42,7 +42,7 @@
 		return (
 			!this.stopSchedule.isStopping &&
 			this.configuration.current !== undefined &&
-			this.serverTable.revision >= 0
+			this.serverTable.isRead
 		);
 	}
 }
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -13,5 +13,12 @@
 } from './event.js';
 export * from './model.js';
 export type {RateTolerance, SteeringSettings} from './settings.js';
+export {
+	comparePositions,
+	formatPosition,
+	storePositionSchema,
+	unreadPosition,
+	type StorePosition,
+} from './store-position.js';
 export {computeAcceptPeriod} from './stop-schedule.js';
 export type {SteeringContext, SteeringKernel} from './types.js';
--- a/packages/steering/src/messages/digest-plugin.ts
+++ b/packages/steering/src/messages/digest-plugin.ts
@@ -6,6 +6,7 @@
 import {limitsKey, type Limits} from '../limits.js';
 import type {Member} from '../members.js';
 import {placerKey, type Placer} from '../placement/placer.js';
+import {comparePositions, unreadPosition} from '../store-position.js';
 import type {SteeringContext, SteeringKernel} from '../types.js';
 import {DigestReceivers} from './digest-receivers.js';
 import {createLoadReport} from './load-report.js';
@@ -54,8 +55,8 @@
 	#wasActive = false;
 	#startedAt: Milliseconds | undefined;
 	#reportedVersion = -1;
-	#reportedRevision = -1;
-	#reportedEvacuationsRevision = -1;
+	#reportedPosition = unreadPosition;
+	#reportedEvacuationsPosition = unreadPosition;
 
 	get name(): string {
 		return 'digest';
@@ -222,16 +223,19 @@
 		const {configuration, serverTable} = this.#hostState;
 		return (
 			configuration.version !== this.#reportedVersion ||
-			serverTable.revision !== this.#reportedRevision ||
-			serverTable.evacuationsRevision !== this.#reportedEvacuationsRevision
+			comparePositions(serverTable.position, this.#reportedPosition) !== 0 ||
+			comparePositions(
+				serverTable.evacuationsPosition,
+				this.#reportedEvacuationsPosition,
+			) !== 0
 		);
 	}
 
 	#markReported(): void {
 		const {configuration, serverTable} = this.#hostState;
 		this.#reportedVersion = configuration.version;
-		this.#reportedRevision = serverTable.revision;
-		this.#reportedEvacuationsRevision = serverTable.evacuationsRevision;
+		this.#reportedPosition = serverTable.position;
+		this.#reportedEvacuationsPosition = serverTable.evacuationsPosition;
 	}
 
 	#sendFull(to: readonly Member[], context: SteeringContext): void {
@@ -333,8 +337,8 @@
 			isReading,
 			isStoreLost: isStoreUnreachable,
 			storeRegainedAgoMs: storeOutage.computeTimeSinceOutage(now),
-			fleetRevision: serverTable.revision,
-			evacuationsRevision: serverTable.evacuationsRevision,
+			fleetPosition: serverTable.position,
+			evacuationsPosition: serverTable.evacuationsPosition,
 		};
 	}
 
--- a/packages/steering/src/messages/digest.ts
+++ b/packages/steering/src/messages/digest.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 import {remotePortSchema} from '../model.js';
+import {storePositionSchema} from '../store-position.js';
 
 const amountSchema = z.number();
 const countsSchema = z.tuple([amountSchema, amountSchema]);
@@ -33,10 +34,10 @@
 	isStoreLost: z.boolean(),
 	/** Time since the end of the last store outage; null: no recent outage. */
 	storeRegainedAgoMs: z.number().nullable(),
-	/** Store revision of the host's list of servers. */
-	fleetRevision: z.int(),
-	/** Store revision of its evacuated failure domains. */
-	evacuationsRevision: z.int(),
+	/** Position of the host's list of servers. */
+	fleetPosition: storePositionSchema,
+	/** Position of its evacuated failure domains. */
+	evacuationsPosition: storePositionSchema,
 	// Omitted in digests to and from idle hosts:
 	/** The host's requests in flight at each backend server. */
 	inFlight: z.record(z.string(), amountSchema).optional(),
--- a/packages/steering/src/readers.ts
+++ b/packages/steering/src/readers.ts
@@ -29,7 +29,7 @@
 	isReader(now: Milliseconds): boolean {
 		const {configuration, serverTable} = this.#hostState;
 		const isCurrent =
-			serverTable.revision >= 0 &&
+			serverTable.isRead &&
 			configuration.computeConfirmationAge(now) <= maximumConfirmationAge;
 		const mayLeaveReading =
 			isCurrent || (configuration.version < 0 && this.#areReadersWaiting(now));
--- a/packages/steering/src/servers/server-table.ts
+++ b/packages/steering/src/servers/server-table.ts
@@ -1,6 +1,11 @@
 import type {Milliseconds} from '@parsleyvale/shared';
 import {LoadControl} from '../load-control.js';
 import type {BackendServer} from '../model.js';
+import {
+	comparePositions,
+	unreadPosition,
+	type StorePosition,
+} from '../store-position.js';
 import {CachedObjectIndex} from './cached-object-index.js';
 import {CacheSizeEstimator} from './object-memory.js';
 import {LoadEstimate, ReportTimes, type RemoteCount} from './load-estimate.js';
@@ -16,12 +21,12 @@
 	readonly kind: 'joined' | 'left' | 'draining' | 'restarted' | 'missing';
 };
 
-/** Servers and evacuated failure domains, each at a revision of the store. */
+/** Servers and evacuated failure domains, each at a position of the store. */
 export type ServerTableSnapshot = {
-	readonly revision: number;
+	readonly position: StorePosition;
 	readonly servers: readonly BackendServer[];
-	/** Revision of the evacuated failure domains, which are versioned apart from the servers. */
-	readonly evacuationsRevision: number;
+	/** Position of the evacuated failure domains, which are versioned apart from the servers. */
+	readonly evacuationsPosition: StorePosition;
 	readonly evacuated: readonly string[];
 };
 
@@ -29,8 +34,8 @@
 export class ServerTable {
 	/** Servers by the objects that they have cached. */
 	readonly cachedObjects = new CachedObjectIndex();
-	#revision = -1;
-	#evacuationsRevision = -1;
+	#position = unreadPosition;
+	#evacuationsPosition = unreadPosition;
 	#evacuated: ReadonlySet<string> = new Set();
 	/** Estimated cache size of the servers of each service. */
 	readonly #cacheEstimators = new Map<string, CacheSizeEstimator>();
@@ -54,14 +59,19 @@
 		this.#loadControl = loadControl;
 	}
 
-	/** Store revision of the list of servers; -1 before the first list. */
-	get revision(): number {
-		return this.#revision;
+	/** Position of the list of servers. */
+	get position(): StorePosition {
+		return this.#position;
 	}
 
-	/** Store revision of the evacuated failure domains; -1 before the first list. */
-	get evacuationsRevision(): number {
-		return this.#evacuationsRevision;
+	/** Position of the evacuated failure domains. */
+	get evacuationsPosition(): StorePosition {
+		return this.#evacuationsPosition;
+	}
+
+	/** Whether a list of servers has been applied. */
+	get isRead(): boolean {
+		return this.#position.revision >= 0;
 	}
 
 	get states(): ReadonlyMap<string, ServerState> {
@@ -70,19 +80,21 @@
 
 	/**
 	 * Applies the lists unless newer ones have been applied, and returns the
-	 * changes. Servers that are missing in the list are removed at `removeMissingAt`.
+	 * changes. Until `outdatedUntil`, entries may be missing or older after an outage:
+	 * servers that are missing in the list are kept, and no drain is taken back.
 	 */
 	apply(
 		snapshot: ServerTableSnapshot,
 		now: Milliseconds,
-		removeMissingAt: Milliseconds,
+		outdatedUntil: Milliseconds,
 	): ServerChange[] {
 		const changes =
-			snapshot.revision < this.#revision
+			comparePositions(snapshot.position, this.#position) < 0
 				? []
-				: this.#applyServers(snapshot, now, removeMissingAt);
-		if (snapshot.evacuationsRevision >= this.#evacuationsRevision) {
-			this.#evacuationsRevision = snapshot.evacuationsRevision;
+				: this.#applyServers(snapshot, now, outdatedUntil);
+		const {evacuationsPosition} = snapshot;
+		if (comparePositions(evacuationsPosition, this.#evacuationsPosition) >= 0) {
+			this.#evacuationsPosition = evacuationsPosition;
 			this.#evacuated = new Set(snapshot.evacuated);
 		}
 
@@ -167,18 +179,18 @@
 	}
 
 	#applyServers(
-		{revision, servers}: ServerTableSnapshot,
+		{position, servers}: ServerTableSnapshot,
 		now: Milliseconds,
-		removeMissingAt: Milliseconds,
+		outdatedUntil: Milliseconds,
 	): ServerChange[] {
-		this.#revision = revision;
-		const missing = this.#markMissing(servers, removeMissingAt);
+		this.#position = position;
+		const missing = this.#markMissing(servers, outdatedUntil);
 		const changes = [
 			...this.#removeMissing(now),
 			...missing.filter(({server}) => this.#missing.has(server.id)),
 		];
 		for (const server of servers) {
-			const change = this.#update(server, now);
+			const change = this.#update(server, now, outdatedUntil);
 			if (change !== undefined) {
 				changes.push({server, kind: change});
 			}
@@ -231,6 +243,7 @@
 	#update(
 		server: BackendServer,
 		now: Milliseconds,
+		outdatedUntil: Milliseconds,
 	): ServerChange['kind'] | undefined {
 		const state = this.#states.get(server.id);
 		const isRestarted =
@@ -251,12 +264,16 @@
 			state.startingUntil = now + server.coldRemainingMs;
 		}
 
-		state.server = server;
 		if (previous.service !== server.service) {
+			state.server = server;
 			return 'restarted';
 		}
 
-		return server.isDraining && !previous.isDraining ? 'draining' : undefined;
+		// A store that returned from a copy may have entries from before the drain.
+		const isDraining =
+			server.isDraining || (previous.isDraining && now < outdatedUntil);
+		state.server = {...server, isDraining};
+		return isDraining && !previous.isDraining ? 'draining' : undefined;
 	}
 
 	#createState(server: BackendServer, now: Milliseconds): ServerState {
--- a/packages/steering/src/store-outage.ts
+++ b/packages/steering/src/store-outage.ts
@@ -17,6 +17,8 @@
 	/** Since when the store has answered this host without an outage; undefined: it does not read. */
 	#answeredSince: Milliseconds | undefined;
 	#outageEndedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+	/** When this host learned that the store had returned from an older copy. */
+	#restoredAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
 	/** This host started reading from the store; earlier silence does not count as an outage. */
 	onReadingStarted(now: Milliseconds): void {
@@ -28,6 +30,11 @@
 		this.#answeredSince = undefined;
 	}
 
+	/** The store has returned from an older copy, in which recent entries of servers are missing. */
+	onRestored(now: Milliseconds): void {
+		this.#restoredAt = now;
+	}
+
 	/** A call was answered that the store had held open for `heldDuration`. */
 	onAnswered(now: Milliseconds, heldDuration: Milliseconds): void {
 		const lastAnsweredAt = this.#lastAnsweredAt ?? now;
@@ -62,7 +69,8 @@
 
 	/**
 	 * Computes until when missing entries may reappear. If another host could read
-	 * from the store all along, only this host was partitioned from it.
+	 * from the store all along, only this host was partitioned from it, unless the
+	 * store returned from an older copy.
 	 */
 	computeReregistrationDeadline(
 		others: readonly Member[],
@@ -76,9 +84,10 @@
 				(digest.storeRegainedAgoMs === null ||
 					now - digest.storeRegainedAgoMs <= outageBegan),
 		);
-		return wasStoreReachable
-			? Number.NEGATIVE_INFINITY
-			: this.#outageEndedAt + reregistrationDuration;
+		const lossEndedAt = wasStoreReachable
+			? this.#restoredAt
+			: Math.max(this.#outageEndedAt, this.#restoredAt);
+		return lossEndedAt + reregistrationDuration;
 	}
 
 	/**
