Write a host's entry again when the store has lost it

A host whose entry was lost is not found by hosts that start later, nor by those that have not heard its digests, so they count its share of customers' rates to others.

Cause: the entry was written once, when the host started. The write may be among those that a store loses when it returns from an older copy, and a call of another incarnation that was done late may overwrite it.

Change: steering knows in which era the entry was written, and asks for it again when the store is in a newer one, or a list lacks it.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -56,6 +56,8 @@
 	readonly clock?: Clock;
 	/** Called to remove another host's expired entry from the store. */
 	readonly onHostEntryExpired: (name: string) => void;
+	/** Called to write this host's entry to the store, as the store has lost it. */
+	readonly onHostEntryMissing: () => void;
 	/** Called to start or stop reading from the store; while stopped, other hosts pass on its changes. */
 	readonly onReadingChanged: (isReading: boolean) => void;
 	/** Called after the process was suspended: its state may be outdated, so the store should be read at once. */
@@ -355,6 +357,9 @@
 		driver.onEffect('set-reading', ({isReading}) => {
 			this.#options.onReadingChanged(isReading);
 		});
+		driver.onEffect('write-host-entry', () => {
+			this.#options.onHostEntryMissing();
+		});
 		driver.onEffect('remove-host-entry', ({name}) => {
 			this.#options.onHostEntryExpired(name);
 		});
--- a/packages/steering/src/create-steering.ts
+++ b/packages/steering/src/create-steering.ts
@@ -5,6 +5,7 @@
 import type {SteeringEvent} from './event.js';
 import {LimitsPlugin} from './limits-plugin.js';
 import {SteeringLookUpPlugin} from './look-up-plugin.js';
+import {RegistrationPlugin} from './membership/registration-plugin.js';
 import {PlacementPlugin} from './placement/placement-plugin.js';
 import {SteeringRequestsPlugin} from './admission/requests-plugin.js';
 import type {SteeringSettings} from './settings.js';
@@ -43,5 +44,6 @@
 		.use(new PlacementPlugin())
 		.use(new SteeringRequestsPlugin())
 		.use(new SteeringLookUpPlugin())
-		.use(new DigestPlugin());
+		.use(new DigestPlugin())
+		.use(new RegistrationPlugin());
 }
--- a/packages/steering/src/effect.ts
+++ b/packages/steering/src/effect.ts
@@ -58,6 +58,8 @@
 			readonly address: string;
 			readonly port: number;
 	  }
+	/** Write this host's entry to the store. */
+	| {readonly type: 'write-host-entry'}
 	/** Remove another host's expired entry from the store. */
 	| {readonly type: 'remove-host-entry'; readonly name: string}
 	| {
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -118,6 +118,8 @@
 			readonly evacuated: readonly string[];
 	  }
 	| {readonly type: 'hosts-listed'; readonly hosts: readonly SteeringHost[]}
+	/** This host's entry was written to the store. */
+	| {readonly type: 'host-entry-written'; readonly era: number}
 	| {readonly type: 'digest-received'; readonly digest: Digest}
 	| {
 			readonly type: 'look-up-arrived';
