--- a/packages/steering/src/servers/server-table.ts
+++ b/packages/steering/src/servers/server-table.ts
@@ -81,7 +81,8 @@
 	/**
 	 * Applies the lists unless newer ones have been applied, and returns the
 	 * changes. Until `outdatedUntil`, entries may be missing or older after an outage:
-	 * servers that are missing in the list are kept, and no drain is taken back.
+	 * servers that are missing in the list are kept, no drain is taken back, and no
+	 * startup is cut short.
 	 */
 	apply(
 		snapshot: ServerTableSnapshot,
@@ -261,7 +262,11 @@
 
 		const previous = state.server;
 		if (previous.coldRemainingMs !== server.coldRemainingMs) {
-			state.startingUntil = now + server.coldRemainingMs;
+			const startingUntil = now + server.coldRemainingMs;
+			state.startingUntil =
+				now < outdatedUntil
+					? Math.max(state.startingUntil, startingUntil)
+					: startingUntil;
 		}
 
 		if (previous.service !== server.service) {
