Log why attempts were lost, and what their requests have in common

A request carries a fingerprint, the hash of method, host name, target and body, and an ended attempt says whether its server closed the connection without any response. `attempt ended` gains the reason of the failure and, where the outcome is unknown, the fingerprint. No decision uses them.

--- a/packages/entry/__tests__/support/recording-exchange.ts
+++ b/packages/entry/__tests__/support/recording-exchange.ts
@@ -1,6 +1,9 @@
 import type {Buffer} from 'node:buffer';
 import type {ResponseHead} from '../../src/response-parser.js';
-import {ServerExchange} from '../../src/server-connection.js';
+import {
+	ServerExchange,
+	type ExchangeFailure,
+} from '../../src/server-connection.js';
 
 export type ExchangeResult =
 	| {readonly kind: 'answered'; readonly status: number; readonly body: string}
@@ -48,7 +51,7 @@
 		this.#resolveResult({kind: 'answered', status, body: this.#body});
 	}
 
-	override onFailed(wasSent: boolean): void {
+	override onFailed({wasSent}: ExchangeFailure): void {
 		this.#resolveResult({kind: 'failed', wasSent});
 	}
 }
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -14,7 +14,11 @@
 } from '@parsleyvale/steering';
 import type {HeaderNames} from './header-names.js';
 import type {ResponseHead} from './response-parser.js';
-import {findRawHeader, ServerExchange} from './server-connection.js';
+import {
+	findRawHeader,
+	ServerExchange,
+	type ExchangeFailure,
+} from './server-connection.js';
 
 /** Responses up to this size are buffered until they are complete. */
 const maximumBufferedBytes = 256 * 1024;
@@ -50,6 +54,7 @@
 	| 'rateLimit'
 	| 'connectTime'
 	| 'responseBytes'
+	| 'wasConnectionLost'
 > & {readonly reason: string | undefined};
 
 export type AttemptOptions = {
@@ -133,17 +138,25 @@
 			this.#options.listener.onStreamEnd(this);
 		}
 
-		this.#end(this.#determineOutcome(), undefined);
+		this.#end(this.#determineOutcome());
 	}
 
-	override onFailed(wasSent: boolean, reason: string): void {
+	override onFailed({
+		reason,
+		wasSent,
+		wasClosedByServer,
+	}: ExchangeFailure): void {
 		if (this.#isStreaming) {
 			this.#options.listener.onStreamAborted(this);
 		}
 
+		const wasUnanswered = this.#head === undefined;
 		this.#head = undefined;
 		this.#release();
-		this.#end(wasSent ? 'unknown' : 'not-sent', reason);
+		this.#end(wasSent ? 'unknown' : 'not-sent', {
+			reason,
+			wasConnectionLost: wasSent && wasUnanswered && wasClosedByServer,
+		});
 	}
 
 	/** Releases the buffered response; must be called when it is no longer needed. */
@@ -174,7 +187,13 @@
 		return hasSeal || status >= 300 ? 'answered' : 'unknown';
 	}
 
-	#end(outcome: SteeringOutcome, reason: string | undefined): void {
+	#end(
+		outcome: SteeringOutcome,
+		{
+			reason,
+			wasConnectionLost = false,
+		}: Partial<Pick<AttemptResult, 'reason' | 'wasConnectionLost'>> = {},
+	): void {
 		if (this.#hasEnded) {
 			return;
 		}
@@ -196,6 +215,7 @@
 					: undefined,
 			connectTime: this.#connectTime,
 			responseBytes: this.#bodyBytes,
+			wasConnectionLost,
 			reason,
 		});
 	}
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -28,6 +28,7 @@
 import {Exchange, sendRefusal} from './exchange.js';
 import type {HeaderNames} from './header-names.js';
 import {RequestBody} from './request-body.js';
+import {computeFingerprint} from './request-fingerprint.js';
 import type {ServerConnections} from './server-connections.js';
 
 /** Larger headers are refused, regardless of the configuration. */
@@ -257,6 +258,11 @@
 			keyHash: callerRequest.keyHash,
 			affinity: callerRequest.affinity,
 			bodyBytes: body.length,
+			fingerprint: computeFingerprint(
+				callerRequest,
+				bodyResult === 'whole' ? body.length : callerRequest.bodyBytes,
+				body.parts,
+			),
 			arrivedAt,
 			timeLeft: callerRequest.timeLeft,
 		});
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -223,6 +223,8 @@
 			rateLimit: result.rateLimit,
 			connectTime: result.connectTime,
 			responseBytes: result.responseBytes,
+			wasConnectionLost: result.wasConnectionLost,
+			reason: result.reason,
 		};
 		onEvent(ended);
 	}
--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -7,6 +7,15 @@
 	type ResponseHead,
 } from './response-parser.js';
 
+/** Why a request got no complete response. */
+export type ExchangeFailure = {
+	readonly reason: string;
+	/** Whether any byte of the request was written to the server. */
+	readonly wasSent: boolean;
+	/** Whether the server closed or reset the connection. */
+	readonly wasClosedByServer: boolean;
+};
+
 /** A request to a backend server and the handlers of its response. */
 export abstract class ServerExchange {
 	/** The id that the response must echo; undefined: none was sent. */
@@ -20,8 +29,7 @@
 	abstract onResponseHead(head: ResponseHead): void;
 	abstract onResponseBody(chunk: Buffer): void;
 	abstract onResponseEnd(): void;
-	/** `wasSent`: whether any byte of the request was written to the server. */
-	abstract onFailed(wasSent: boolean, reason: string): void;
+	abstract onFailed(failure: ExchangeFailure): void;
 }
 
 export type ServerConnectionOptions = {
@@ -35,6 +43,8 @@
 	readonly onClosed: (connection: ServerConnection) => void;
 };
 
+/** Codes of socket errors after which the server has closed the connection. */
+const closingCodes: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 /** Covers the longest round trip and the retransmission of a lost packet. */
 const connectTimeout: Milliseconds = 400;
 /** Used for servers that send no `keep-alive` timeout. */
@@ -91,10 +101,11 @@
 			this.#onSocketEnd();
 		});
 		this.#socket.on('error', (error) => {
-			this.#terminate((error as NodeJS.ErrnoException).code ?? error.message);
+			const {code = error.message} = error as NodeJS.ErrnoException;
+			this.#terminate(code, closingCodes.has(code));
 		});
 		this.#socket.on('close', () => {
-			this.#terminate('connection closed');
+			this.#terminate('connection closed', true);
 		});
 	}
 
@@ -281,7 +292,7 @@
 		if (isOrderlyEnd && this.#isResponseComplete) {
 			this.#complete();
 		} else {
-			this.#terminate('response truncated');
+			this.#terminate('response truncated', true);
 		}
 	}
 
@@ -300,7 +311,7 @@
 		exchange?.onResponseEnd();
 	}
 
-	#terminate(reason: string): void {
+	#terminate(reason: string, wasClosedByServer = false): void {
 		if (this.#isClosed) {
 			return;
 		}
@@ -311,7 +322,11 @@
 		this.#notifyDrained();
 		const exchange = this.#exchange;
 		this.#exchange = undefined;
-		exchange?.onFailed(this.#hasSentBytes, reason);
+		exchange?.onFailed({
+			reason,
+			wasSent: this.#hasSentBytes,
+			wasClosedByServer,
+		});
 	}
 }
 
--- a/packages/steering/src/admission/request-lifecycle.ts
+++ b/packages/steering/src/admission/request-lifecycle.ts
@@ -135,7 +135,9 @@
 		);
 		this.#applyRateLimit(placement, ended, context);
 		this.#queue.onCompleted(request.service, context.now);
-		this.#log.onAttemptEnded(placement, ended, isEjected, context);
+		const {fingerprint} = request.arrival;
+		const endedAttempt = {placement, fingerprint, isEjected};
+		this.#log.onAttemptEnded(endedAttempt, ended, context);
 		this.#handleOutcome(request, ended, context);
 		this.#dispatchWaiting(request.service, context, placement.state);
 	}
--- a/packages/steering/src/admission/request-log.ts
+++ b/packages/steering/src/admission/request-log.ts
@@ -13,6 +13,13 @@
 	readonly retryAfter: Milliseconds | undefined;
 };
 
+/** What is known of an attempt that has ended, apart from its result. */
+export type EndedAttempt = {
+	readonly placement: Placement;
+	readonly fingerprint: string;
+	readonly isEjected: boolean;
+};
+
 /** Emits log lines and metrics of requests: one line for each decision. */
 export class RequestLog {
 	readonly #hostState: HostState;
@@ -48,9 +55,8 @@
 	}
 
 	onAttemptEnded(
-		{state, inFlightRequest}: Placement,
-		{requestId, attempt, outcome, status}: SteeringAttemptEnded,
-		isEjected: boolean,
+		{placement: {state, inFlightRequest}, fingerprint, isEjected}: EndedAttempt,
+		{requestId, attempt, outcome, status, reason}: SteeringAttemptEnded,
 		context: SteeringContext,
 	): void {
 		const {id} = state.server;
@@ -64,6 +70,8 @@
 				server: id,
 				outcome,
 				status,
+				reason,
+				fingerprint: outcome === 'unknown' ? fingerprint : undefined,
 				tookMs: Math.round(context.now - inFlightRequest.sentAt),
 			},
 		});
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -50,6 +50,8 @@
 	/** Affinity key: the same for all requests for an object. */
 	readonly affinity: string | undefined;
 	readonly bodyBytes: number;
+	/** The same when the request is sent again: hash of method, host name, target and body, in hexadecimal. */
+	readonly fingerprint: string;
 	/** When the first byte was read, on this host's clock. */
 	readonly arrivedAt: Milliseconds;
 	/** Time for which the caller waits for an answer; undefined: not stated. */
@@ -74,6 +76,10 @@
 	readonly connectTime: Milliseconds | undefined;
 	/** Length of the received response body. */
 	readonly responseBytes: number;
+	/** Whether the server closed the connection without any response, as it does when it crashes. */
+	readonly wasConnectionLost: boolean;
+	/** Why no complete response was received, for logs. */
+	readonly reason?: string | undefined;
 };
 
 export type SteeringEvent =
