--- a/packages/steering/__tests__/load-shedding.test.ts
+++ b/packages/steering/__tests__/load-shedding.test.ts
@@ -27,6 +27,7 @@
 			keyHash: undefined,
 			affinity: undefined,
 			bodyBytes: 0,
+			fingerprint: '1',
 			arrivedAt: 0,
 			timeLeft: undefined,
 		},
--- a/packages/steering/__tests__/support/fleet-simulation.ts
+++ b/packages/steering/__tests__/support/fleet-simulation.ts
@@ -8,6 +8,7 @@
 	type SteeringEvent,
 	type SteeringHost,
 	type SteeringKernel,
+	type SteeringOutcome,
 } from '../../src/index.js';
 import type {ServerChoice} from '../../src/placement/server-choice.js';
 import {
@@ -15,7 +16,12 @@
 	type Unevenness,
 } from '../../src/servers/pool-unevenness.js';
 import {createRandom} from './random.js';
-import {SimulatedServer, type SimulatedWork} from './simulated-server.js';
+import {
+	crashDuration,
+	SimulatedServer,
+	type SimulatedWork,
+	type WorkEnd,
+} from './simulated-server.js';
 
 export type SimulationOptions = {
 	readonly regions: readonly string[];
@@ -38,6 +44,8 @@
 	readonly tailFraction?: number;
 	/** Objects that a server caches. */
 	readonly cacheSize?: number;
+	/** Requests of this path crash each server that runs them. */
+	readonly deadlyPath?: string;
 	readonly isFirstStart?: boolean;
 	readonly isLoadControlRequired?: boolean;
 	/** When hosts are told of each other; 0: before they start. */
@@ -86,6 +94,7 @@
 	readonly server: string;
 	readonly incarnation: string;
 	readonly at: Milliseconds;
+	readonly path: string;
 };
 
 export type SimulatedHost = {
@@ -98,6 +107,8 @@
 };
 
 const tickInterval: Milliseconds = 50;
+/** Lists of servers after a crash have higher revisions than those that tests announce. */
+const firstCrashRevision = 1000;
 const delayWithinRegion: Milliseconds = 2;
 
 /** Simulates servers, callers and the network on a virtual clock; hosts run the real kernel. */
@@ -113,6 +124,8 @@
 	readonly servers = new Map<string, SimulatedServer>();
 	/** Requests that reached servers, in the order of their arrival. */
 	readonly arrivals: Arrival[] = [];
+	/** When servers crashed. */
+	readonly crashes: Milliseconds[] = [];
 	/** When each host first got a response that states a rate limit, by host and server. */
 	readonly limitsReceivedAt = new Map<string, Milliseconds>();
 	readonly registeredServers: BackendServer[] = [];
@@ -177,6 +190,9 @@
 			schedule: this.schedule.bind(this),
 			random: this.random,
 			onArrival,
+			onCrash: (at) => {
+				this.#onCrash(server.id, at);
+			},
 		});
 		this.servers.set(server.id, simulated);
 	}
@@ -311,6 +327,7 @@
 			keyHash: request.key,
 			affinity: request.affinity,
 			bodyBytes: request.bodyBytes ?? 0,
+			fingerprint: `${request.path}/${request.affinity}`,
 			arrivedAt: this.clock.now(),
 			timeLeft: request.timeLeft ?? 4000,
 		});
@@ -327,6 +344,21 @@
 		}
 	}
 
+	/** A crashed server registers again as a new incarnation. */
+	#onCrash(id: string, at: Milliseconds): void {
+		this.crashes.push(at);
+		const revision = firstCrashRevision + this.crashes.length;
+		this.schedule(at + crashDuration, () => {
+			const index = this.registeredServers.findIndex(
+				(server) => server.id === id,
+			);
+			const server = this.registeredServers[index]!;
+			const incarnation = String(Number(server.incarnation) + 1);
+			this.registeredServers[index] = {...server, incarnation};
+			this.announceServers(revision);
+		});
+	}
+
 	#apply(kernel: SteeringKernel, effect: SteeringEffect): void {
 		const now = this.clock.now();
 		// eslint-disable-next-line @typescript-eslint/switch-exhaustiveness-check -- Logs and metrics have no effect here.
@@ -411,23 +443,23 @@
 		outcome.serverRegions.push(server.region);
 		const delay = this.#getDelay(server.region, kernel.self.region);
 		const simulated = this.servers.get(server.id)!;
-		const work = this.#createWork(outcome, deadline, (status, at) => {
-			outcome.runs += status === 'not-run' ? 0 : 1;
+		const work = this.#createWork(outcome, deadline, (end, at) => {
+			const isRun = end === 'lost' || typeof end === 'number';
+			outcome.runs += isRun ? 1 : 0;
 			const {changeStatedLoad = (load: ReportedLoad) => load} = this.#options;
 			const load = changeStatedLoad(simulated.load);
 			this.schedule(at + delay, () => {
-				if (work.isCancelled) {
+				if (work.isCancelled && end !== 'lost') {
 					return;
 				}
 
-				const isRun = status !== 'not-run';
 				this.#recordLimit(kernel, simulated, server.id);
-				outcome.status = isRun ? status : 503;
+				outcome.status = typeof end === 'number' ? end : 503;
 				this.handle(kernel, {
 					type: 'attempt-ended',
 					requestId,
 					attempt,
-					outcome: isRun ? 'answered' : 'not-run',
+					outcome: toOutcome(end),
 					status: outcome.status,
 					isAnswerBuffered: true,
 					isReplayable: true,
@@ -435,6 +467,7 @@
 					rateLimit: {requestsPerSecond: simulated.rateLimit},
 					connectTime: delay * 2,
 					responseBytes: this.#options.responseBytes ?? 0,
+					wasConnectionLost: end === 'lost',
 				});
 			});
 		});
@@ -443,7 +476,8 @@
 			if (!work.isCancelled) {
 				const at = this.clock.now();
 				const {incarnation} = kernel.self;
-				this.arrivals.push({server: server.id, incarnation, at});
+				const {path} = outcome;
+				this.arrivals.push({server: server.id, incarnation, at, path});
 				simulated.receive(work, at);
 			}
 		});
@@ -486,6 +520,7 @@
 			cachedTime: uncachedTime * cachedTimeFraction,
 			uncachedTime,
 			deadline,
+			isDeadly: path === this.#options.deadlyPath,
 			onEnd,
 			isCancelled: false,
 		};
@@ -594,6 +629,26 @@
 	}
 }
 
+function toOutcome(end: WorkEnd): SteeringOutcome {
+	switch (end) {
+		case 'not-run': {
+			return 'not-run';
+		}
+
+		case 'lost': {
+			return 'unknown';
+		}
+
+		case 'unreachable': {
+			return 'not-sent';
+		}
+
+		default: {
+			return 'answered';
+		}
+	}
+}
+
 /** Requests of one kind that arrive at a constant average rate from all regions. */
 export type RequestStream = {
 	readonly path: string;
--- a/packages/steering/__tests__/support/kernel-session.ts
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -161,6 +161,7 @@
 			keyHash: 'key',
 			affinity: undefined,
 			bodyBytes: 0,
+			fingerprint: '0000000000000001',
 			arrivedAt: this.clock.now(),
 			timeLeft: 4000,
 			...values,
@@ -186,6 +187,7 @@
 			rateLimit: undefined,
 			connectTime: undefined,
 			responseBytes: 0,
+			wasConnectionLost: false,
 			...values,
 		});
 	}
--- a/packages/steering/__tests__/support/simulated-server.ts
+++ b/packages/steering/__tests__/support/simulated-server.ts
@@ -1,15 +1,30 @@
 import type {Milliseconds} from '@parsleyvale/shared';
 import type {BackendServer, ReportedLoad} from '../../src/index.js';
 
+/** How a request ended: the status of its response, or why there was none. */
+export type WorkEnd =
+	| number
+	| 'not-run'
+	/** The server crashed while it had the request. */
+	| 'lost'
+	/** The server is down after a crash. */
+	| 'unreachable';
+
 export type SimulatedWork = {
 	readonly objectKey: string;
 	readonly cachedTime: Milliseconds;
 	readonly uncachedTime: Milliseconds;
 	readonly deadline: Milliseconds;
-	readonly onEnd: (status: number | 'not-run', at: Milliseconds) => void;
+	/** Whether it crashes the server that runs it. */
+	readonly isDeadly: boolean;
+	readonly onEnd: (end: WorkEnd, at: Milliseconds) => void;
 	isCancelled: boolean;
 };
 
+/** Time from the start of a deadly request to the crash. */
+const timeToCrash: Milliseconds = 40;
+export const crashDuration: Milliseconds = 3000;
+
 export type SimulatedServerOptions = {
 	readonly server: BackendServer;
 	/** Requests that may wait for a slot; further ones are rejected. */
@@ -17,6 +32,8 @@
 	/** Objects that it caches. */
 	readonly cacheSize: number;
 	readonly onArrival: (at: Milliseconds) => void;
+	/** Called when a request has crashed it, before the requests that it had are lost. */
+	readonly onCrash: (at: Milliseconds) => void;
 	readonly schedule: (at: Milliseconds, action: () => void) => void;
 	/** Uniform numbers from 0 to below 1. */
 	readonly random: () => number;
@@ -38,6 +55,7 @@
 	readonly #running = new Set<SimulatedWork>();
 	readonly #waiting: SimulatedWork[] = [];
 	readonly #cachedObjects = new Set<string>();
+	#downUntil: Milliseconds = Number.NEGATIVE_INFINITY;
 
 	constructor(options: SimulatedServerOptions) {
 		this.#options = options;
@@ -54,6 +72,11 @@
 
 	receive(work: SimulatedWork, now: Milliseconds): void {
 		const {server, queueLimit, onArrival} = this.#options;
+		if (now < this.#downUntil) {
+			work.onEnd('unreachable', now);
+			return;
+		}
+
 		onArrival(now);
 		if (this.#isDrawn(this.shedFraction)) {
 			work.onEnd('not-run', now);
@@ -80,6 +103,19 @@
 		}
 	}
 
+	/** Loses all requests and is unreachable for a time. */
+	#crash(now: Milliseconds): void {
+		this.#downUntil = now + crashDuration;
+		this.#options.onCrash(now);
+		const lost = [...this.#running, ...this.#waiting.splice(0)];
+		this.#running.clear();
+		this.#cachedObjects.clear();
+		for (const work of lost) {
+			work.isCancelled = true;
+			work.onEnd('lost', now);
+		}
+	}
+
 	#isDrawn(fraction: number): boolean {
 		return fraction > 0 && this.#options.random() < fraction;
 	}
@@ -88,6 +124,15 @@
 		const {schedule, cacheSize} = this.#options;
 		this.#running.add(work);
 		this.runs += 1;
+		if (work.isDeadly) {
+			schedule(now + timeToCrash, () => {
+				if (!work.isCancelled) {
+					this.#crash(now + timeToCrash);
+				}
+			});
+			return;
+		}
+
 		const isCached = this.#cachedObjects.has(work.objectKey);
 		const time =
 			(isCached ? work.cachedTime : work.uncachedTime) * this.slowness;
--- a/packages/steering/__tests__/support/store-simulation.ts
+++ b/packages/steering/__tests__/support/store-simulation.ts
@@ -195,6 +195,7 @@
 				keyHash: 'key',
 				affinity: undefined,
 				bodyBytes: 0,
+				fingerprint: path,
 				arrivedAt: this.clock.now(),
 				timeLeft: 1000,
 			},
@@ -214,6 +215,7 @@
 				rateLimit: undefined,
 				connectTime: undefined,
 				responseBytes: 0,
+				wasConnectionLost: false,
 			});
 		}
 
