Block requests that crash the servers that run them

Cause: no host remembers what ran on a server when it crashed. The request is new each time it arrives, at each host, and if it is idempotent its attempt is repeated at the next server at once.

Change: a request is identified by its fingerprint and its customer. An attempt whose connection the server closed without any response counts as a crash of that server (id and incarnation) under the request, unless the server responds to others within 1.5 s. Hosts report such crashes in their digests. A request that explains three crashes is blocked for 30 s, and four times as long after each further one, up to 10 min: it is refused as not run (request-blocked, 503 with Retry-After) at every host. Crashes that a request with more of them explains are not held against those beside it; one that is answered is cleared everywhere. After a block the hosts try it one after the other. With two crashes it is not repeated at another server. 512 requests are remembered, blocked ones first.

Ruled out: to eject the servers longer, they are sound; to block by path or by customer alone, which keeps healthy requests out; to block at the first crash, as servers lose single answers, too.

--- a/packages/ctl/src/explain-request.ts
+++ b/packages/ctl/src/explain-request.ts
@@ -34,6 +34,8 @@
 	'no-server':
 		'Not run: no eligible server was left; the others are draining, evacuated, cold or ejected.',
 	'server-refused': 'Not run: the servers rejected it.',
+	'request-blocked':
+		'Not run: the same request has crashed several servers and is not sent to another one for now.',
 	'keys-not-fresh':
 		'Not run: the host could not tell whether the key was withdrawn; it had reached neither the store nor a host that had reached the store.',
 	'not-configured': 'Not run: the host had no configuration yet.',
--- a/packages/entry/src/digest-codec.ts
+++ b/packages/entry/src/digest-codec.ts
@@ -7,6 +7,8 @@
 type Message = InstanceType<typeof parsleyvale.entry.DigestMessage>;
 type LoadProperties = parsleyvale.entry.LoadMessage.$Properties;
 type CountsProperties = parsleyvale.entry.CountsMessage.$Properties;
+type CrashesProperties = parsleyvale.entry.CrashesMessage.$Properties;
+type AnsweredProperties = parsleyvale.entry.AnsweredMessage.$Properties;
 type RateLimitsProperties = parsleyvale.entry.RateLimitsMessage.$Properties;
 type Counts = NonNullable<Digest['customers']>;
 
@@ -27,7 +29,7 @@
 
 	encode(digest: Digest): Uint8Array {
 		const {requestsPerSecond, configurationAgeMs, inFlight} = digest;
-		const {customers, servers, rateLimits} = digest;
+		const {customers, servers, rateLimits, crashes, answeredSuspects} = digest;
 		const {handled, firstWork, fleetPosition, evacuationsPosition, ...common} =
 			digest;
 		return parsleyvale.entry.DigestMessage.encode({
@@ -43,6 +45,15 @@
 			customers: customers && createCounts(customers, this.#customers),
 			servers: servers && createCounts(servers, this.#servers),
 			rateLimits: rateLimits && this.#createRateLimits(rateLimits),
+			crashes: crashes && {
+				requests: crashes.map(([request]) => request),
+				servers: crashes.map(([, server]) => server),
+				agesMs: crashes.map((crash) => crash[2]),
+			},
+			answeredSuspects: answeredSuspects && {
+				requests: answeredSuspects.map(([request]) => request),
+				agesMs: answeredSuspects.map(([, age]) => age),
+			},
 		}).finish();
 	}
 
@@ -62,6 +73,7 @@
 
 	#toDigest(message: Message): Digest {
 		const {load, customers, servers, rateLimits} = message;
+		const {crashes, answeredSuspects} = message;
 		return {
 			name: message.name,
 			incarnation: message.incarnation,
@@ -91,6 +103,10 @@
 			...(customers && {customers: toCounts(customers, this.#customers)}),
 			...(servers && {servers: toCounts(servers, this.#servers)}),
 			...(rateLimits && {rateLimits: this.#toRateLimits(rateLimits)}),
+			...(crashes && {crashes: toCrashes(crashes)}),
+			...(answeredSuspects && {
+				answeredSuspects: toAnsweredSuspects(answeredSuspects),
+			}),
 			...(message.areCountsPartial && {areCountsPartial: true}),
 		};
 	}
@@ -172,6 +188,28 @@
 	}
 }
 
+function toCrashes({
+	requests,
+	servers,
+	agesMs,
+}: CrashesProperties): NonNullable<Digest['crashes']> {
+	return (requests ?? []).map((request, index) => [
+		request,
+		getItem(servers, index),
+		getItem(agesMs, index),
+	]);
+}
+
+function toAnsweredSuspects({
+	requests,
+	agesMs,
+}: AnsweredProperties): NonNullable<Digest['answeredSuspects']> {
+	return (requests ?? []).map((request, index) => [
+		request,
+		getItem(agesMs, index),
+	]);
+}
+
 function createCounts(counts: Counts, hashes: NameHashes): CountsProperties {
 	const values = Object.values(counts);
 	return {
--- a/packages/shared/src/error-kind.ts
+++ b/packages/shared/src/error-kind.ts
@@ -21,6 +21,8 @@
 	IdempotencyKeyReused = 'idempotency-key-reused',
 	ClaimUnavailable = 'claim-unavailable',
 	ServerRefused = 'server-refused',
+	/** The request has crashed several servers. */
+	RequestBlocked = 'request-blocked',
 	OutcomeUnknown = 'outcome-unknown',
 	AnswerCut = 'answer-cut',
 	CallerGone = 'caller-gone',
--- a/packages/shared/src/error-table.ts
+++ b/packages/shared/src/error-table.ts
@@ -215,6 +215,13 @@
 		'after-delay',
 		'The backend servers refused the request before running it.',
 	),
+	[ErrorKind.RequestBlocked]: createErrorResponse(
+		503,
+		GrpcStatus.Unavailable,
+		'not run',
+		'after-delay',
+		'This request has crashed several backend servers. It is not sent to another one for now.',
+	),
 	[ErrorKind.OutcomeUnknown]: createErrorResponse(
 		502,
 		GrpcStatus.Unknown,
--- a/packages/steering/__tests__/load-shedding.test.ts
+++ b/packages/steering/__tests__/load-shedding.test.ts
@@ -18,6 +18,7 @@
 	values: Partial<LiveRequest> = {},
 ): LiveRequest {
 	return {
+		identity: '1',
 		arrival: {
 			type: 'request-arrived',
 			requestId: customer,
--- a/packages/steering/src/admission/admission.ts
+++ b/packages/steering/src/admission/admission.ts
@@ -1,5 +1,6 @@
 import {ErrorKind, type Milliseconds} from '@parsleyvale/shared';
 import {Result} from 'true-myth';
+import {createRequestIdentity} from '../crashes/crash-guard.js';
 import type {HostState} from '../host-state.js';
 import type {SteeringArrival} from '../event.js';
 import {computeHash} from '../hash.js';
@@ -75,6 +76,7 @@
 		const timeLeft = arrival.timeLeft ?? Number.POSITIVE_INFINITY;
 		return {
 			arrival,
+			identity: createRequestIdentity(arrival.fingerprint, customer?.name),
 			route,
 			customer,
 			service: this.#split.choose(route).service,
--- a/packages/steering/src/admission/live-request.ts
+++ b/packages/steering/src/admission/live-request.ts
@@ -6,6 +6,8 @@
 /** A request between its admission and its outcome. */
 export type LiveRequest = {
 	readonly arrival: SteeringArrival;
+	/** The same for the same request of the same customer. */
+	readonly identity: string;
 	readonly route: SteeringRoute;
 	readonly customer: SteeringCustomer | undefined;
 	readonly service: string;
--- a/packages/steering/src/admission/request-lifecycle.ts
+++ b/packages/steering/src/admission/request-lifecycle.ts
@@ -4,6 +4,7 @@
 	type Milliseconds,
 	type RequestId,
 } from '@parsleyvale/shared';
+import type {CrashGuard} from '../crashes/crash-guard.js';
 import type {HostState} from '../host-state.js';
 import type {SteeringArrival, SteeringAttemptEnded} from '../event.js';
 import type {Limits} from '../limits.js';
@@ -34,6 +35,7 @@
 	readonly hostState: HostState;
 	readonly limits: Limits;
 	readonly placer: Placer;
+	readonly crashGuard: CrashGuard;
 };
 
 /** Drives each request through admission, placement and attempts to its single outcome. */
@@ -90,7 +92,19 @@
 
 		const request = admitted.value;
 		const {customer, service} = request;
-		const {rates, retries} = this.#options.limits;
+		const {limits, crashGuard} = this.#options;
+		const blockedFor = crashGuard.tryAdmit(request.identity, now);
+		if (blockedFor !== undefined) {
+			this.#refuseArrival(
+				arrival,
+				ErrorKind.RequestBlocked,
+				{customer: customer?.name, retryAfter: blockedFor},
+				context,
+			);
+			return;
+		}
+
+		const {rates, retries} = limits;
 		const retryAfter = customer && rates.tryTake(customer, now);
 		if (retryAfter !== undefined) {
 			this.#refuseArrival(
@@ -138,6 +152,7 @@
 		const {fingerprint} = request.arrival;
 		const endedAttempt = {placement, fingerprint, isEjected};
 		this.#log.onAttemptEnded(endedAttempt, ended, context);
+		this.#updateCrashGuard(request, placement, ended, context.now);
 		this.#handleOutcome(request, ended, context);
 		this.#dispatchWaiting(request.service, context, placement.state);
 	}
@@ -166,6 +181,8 @@
 		for (const request of this.#requests.values()) {
 			if (now >= request.deadline) {
 				this.#onDeadline(request, context);
+			} else if (this.#isWaitingBlocked(request, now)) {
+				this.#refuse(request, ErrorKind.RequestBlocked, context);
 			} else if (this.#isOverdue(request, now)) {
 				this.#reroute(request, context);
 			} else if (this.#waitLimits.cannotMeetObjective(request, now)) {
@@ -227,6 +244,11 @@
 	}
 
 	#placeOrQueue(request: LiveRequest, context: SteeringContext): void {
+		if (this.#isWaitingBlocked(request, context.now)) {
+			this.#refuse(request, ErrorKind.RequestBlocked, context);
+			return;
+		}
+
 		const failure = this.#shedding.mustWait(request)
 			? {kind: ErrorKind.NoRoom, timeUntilCached: undefined}
 			: this.#tryPlace(request, context);
@@ -304,6 +326,35 @@
 		return undefined;
 	}
 
+	#updateCrashGuard(
+		{identity}: LiveRequest,
+		{state}: Placement,
+		{outcome, status = 0, wasConnectionLost}: SteeringAttemptEnded,
+		now: Milliseconds,
+	): void {
+		const {crashGuard} = this.#options;
+		if (wasConnectionLost) {
+			crashGuard.onConnectionLost(identity, state.server, now);
+		} else if (outcome === 'answered' || outcome === 'not-run') {
+			crashGuard.onServerResponded(state.server, now);
+		}
+
+		if (outcome === 'answered' && status < 500) {
+			crashGuard.onAnswered(identity, now);
+		}
+	}
+
+	/** Whether the request is at no server and may not be sent to one. */
+	#isWaitingBlocked(
+		{placement, identity}: LiveRequest,
+		now: Milliseconds,
+	): boolean {
+		return (
+			placement === undefined &&
+			this.#options.crashGuard.isBlocked(identity, now)
+		);
+	}
+
 	#applyRateLimit(
 		{state, inFlightRequest}: Placement,
 		{outcome, rateLimit}: SteeringAttemptEnded,
@@ -372,8 +423,12 @@
 	}
 
 	/** Whether the request may run on one more server. */
-	#canRetry({route, possibleRuns}: LiveRequest): boolean {
-		return route.isIdempotent && possibleRuns < route.maximumAttempts;
+	#canRetry({route, possibleRuns, identity}: LiveRequest): boolean {
+		return (
+			route.isIdempotent &&
+			possibleRuns < route.maximumAttempts &&
+			this.#options.crashGuard.mayRetry(identity)
+		);
 	}
 
 	#retry(request: LiveRequest, context: SteeringContext): boolean {
--- a/packages/steering/src/admission/requests-plugin.ts
+++ b/packages/steering/src/admission/requests-plugin.ts
@@ -1,4 +1,5 @@
 import {Plugin} from '@parsleyvale/kernel';
+import {crashGuardKey} from '../crashes/crash-guard.js';
 import {hostStateKey} from '../host-state.js';
 import type {SteeringEffect} from '../effect.js';
 import type {SteeringEvent} from '../event.js';
@@ -27,6 +28,7 @@
 			hostState: kernel.inject(hostStateKey),
 			limits: kernel.inject(limitsKey),
 			placer: kernel.inject(placerKey),
+			crashGuard: kernel.inject(crashGuardKey),
 		});
 		this.#lifecycle = lifecycle;
 		kernel.on('request-arrived', (event, context) => {
--- a/packages/steering/src/create-steering.ts
+++ b/packages/steering/src/create-steering.ts
@@ -5,6 +5,7 @@
 import type {SteeringEvent} from './event.js';
 import {LimitsPlugin} from './limits-plugin.js';
 import {SteeringLookUpPlugin} from './look-up-plugin.js';
+import {CrashesPlugin} from './crashes/crashes-plugin.js';
 import {RegistrationPlugin} from './membership/registration-plugin.js';
 import {PlacementPlugin} from './placement/placement-plugin.js';
 import {SteeringRequestsPlugin} from './admission/requests-plugin.js';
@@ -41,6 +42,7 @@
 	})
 		.use(new HostStatePlugin(settings))
 		.use(new LimitsPlugin())
+		.use(new CrashesPlugin())
 		.use(new PlacementPlugin())
 		.use(new SteeringRequestsPlugin())
 		.use(new SteeringLookUpPlugin())
--- a/packages/steering/src/messages/digest-plugin.ts
+++ b/packages/steering/src/messages/digest-plugin.ts
@@ -1,5 +1,6 @@
 import {Plugin} from '@parsleyvale/kernel';
 import type {Milliseconds} from '@parsleyvale/shared';
+import {crashGuardKey, type CrashGuard} from '../crashes/crash-guard.js';
 import {hostStateKey, type HostState} from '../host-state.js';
 import type {SteeringEffect} from '../effect.js';
 import type {SteeringEvent} from '../event.js';
@@ -45,6 +46,7 @@
 	#receivers!: DigestReceivers;
 	#limits!: Limits;
 	#placer!: Placer;
+	#crashGuard!: CrashGuard;
 	#sequence = 0;
 	#lastSentInRegion: Milliseconds = Number.NEGATIVE_INFINITY;
 	#lastSentToActive: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -67,6 +69,7 @@
 		this.#receivers = new DigestReceivers(this.#hostState);
 		this.#limits = kernel.inject(limitsKey);
 		this.#placer = kernel.inject(placerKey);
+		this.#crashGuard = kernel.inject(crashGuardKey);
 		kernel.on('tick', (_event, context) => {
 			this.#sendWhenDue(context);
 			this.#cleanUpWhenDue(context);
@@ -339,6 +342,7 @@
 			storeRegainedAgoMs: storeOutage.computeTimeSinceOutage(now),
 			fleetPosition: serverTable.position,
 			evacuationsPosition: serverTable.evacuationsPosition,
+			...this.#crashGuard.createReport(now),
 		};
 	}
 
--- a/packages/steering/src/messages/digest.ts
+++ b/packages/steering/src/messages/digest.ts
@@ -53,6 +53,10 @@
 	rateLimits: z
 		.record(z.string(), z.tuple([amountSchema.nullable(), amountSchema]))
 		.optional(),
+	/** Requests that were at a server when it crashed: the request's identity, the hash of the server, and the time since then in milliseconds. */
+	crashes: z.array(z.tuple([z.string(), z.int(), amountSchema])).optional(),
+	/** Requests reported in `crashes` that a server answered, and the time since then in milliseconds. */
+	answeredSuspects: z.array(z.tuple([z.string(), amountSchema])).optional(),
 	/** Whether `customers` and `servers` contain only those whose number has changed since the last digest. */
 	areCountsPartial: z.boolean().optional(),
 });
