Take no response for complete whose connection ends during the upload

Change: while a part of the request is still to be written, a response that only the end of its connection ends is incomplete.

--- a/packages/entry/src/server-connection.ts
+++ b/packages/entry/src/server-connection.ts
@@ -287,7 +287,7 @@
 		// reset socket has no remote address. The address must not be read
 		// earlier, since Node caches it.
 		const isReset = this.#socket.remoteAddress === undefined;
-		const isOrderlyEnd = !isReset && this.#parser.finish();
+		const isOrderlyEnd = !isReset && !this.#isSending && this.#parser.finish();
 		this.#isReusable = false;
 		if (isOrderlyEnd && this.#isResponseComplete) {
 			this.#complete();
@@ -296,6 +296,14 @@
 		}
 	}
 
+	/**
+	 * Whether a part of the request is still to be written. A server that closes its
+	 * connection meanwhile resets it, so that the end of its response may be missing.
+	 */
+	get #isSending(): boolean {
+		return !this.#isRequestComplete || this.#socket.writableLength > 0;
+	}
+
 	#complete(): void {
 		const exchange = this.#exchange;
 		this.#exchange = undefined;
