Fail a request whose response has a status below 100

Report (MIXED): a server in trouble sent an answer with the status 000, and the client got it as an answer.

Here: the caller got no answer at all until its deadline. The parser's 0 was taken for an interim status, after which the response waits for its final head, and a body that stood behind such a head was read as the body of the next one.

Change: a status below 100 is malformed, and its request fails at once; an interim response has no body, whatever its headers say. Seven tests of early-responses failed before, by their timeout.

--- a/packages/entry/__tests__/early-responses.test.ts
+++ b/packages/entry/__tests__/early-responses.test.ts
@@ -117,3 +117,35 @@
 		}
 	}
 });
+
+describe('a response whose status is no status', () => {
+	for (const status of ['000', '001', '099']) {
+		for (const framing of ['content-length: 5', 'x-none: 1']) {
+			it(
+				`(${status}, ${framing}) fails the request at once`,
+				{timeout: testTimeoutMs},
+				async () => {
+					const port = await listen((socket) => {
+						socket.write(
+							`HTTP/1.1 ${status} OK\r\nx-id: 1\r\nx-seal: s\r\n${framing}\r\n\r\nwhole`,
+						);
+					});
+					expect(await upload(port, true)).toEqual('failed');
+				},
+			);
+		}
+	}
+
+	it(
+		'(1xx with a body) does not become part of the response behind it',
+		{timeout: testTimeoutMs},
+		async () => {
+			const port = await listen((socket) => {
+				socket.write(
+					'HTTP/1.1 103 Early Hints\r\ncontent-length: 5\r\n\r\nother' + head,
+				);
+			});
+			expect(await upload(port, true)).toEqual('failed');
+		},
+	);
+});
--- a/packages/entry/src/response-parser.ts
+++ b/packages/entry/src/response-parser.ts
@@ -25,6 +25,7 @@
 /** A header line, or the continuation of the one before it. */
 const headerLinePattern =
 	/^(?:[!#$%&'*+.^`|~\w-]+:|[ \t])[\t\u0020-\u007E\u0080-\u00FF]*$/;
+const firstStatus = 100;
 const firstFinalStatus = 200;
 /** Return value that makes the parser skip the body; 0: parse it. */
 const skipBody = 1;
@@ -89,10 +90,13 @@
 		headers: string[];
 		shouldKeepAlive: boolean;
 	}): number {
-		this.#isInvalid ||= hasStatusLine(info.statusMessage);
-		if (info.statusCode < firstFinalStatus) {
+		const {statusCode} = info;
+		this.#isInvalid ||=
+			statusCode < firstStatus || hasStatusLine(info.statusMessage);
+		if (statusCode >= firstStatus && statusCode < firstFinalStatus) {
+			// An interim response has no body, whatever its headers say.
 			this.#isInterim = true;
-			return 0;
+			return skipBody;
 		}
 
 		this.#framingBytes = 0;
@@ -102,7 +106,7 @@
 		}
 
 		const hasNoBody = this.#listener.onHead({
-			status: info.statusCode,
+			status: statusCode,
 			rawHeaders: [...info.headers],
 			shouldKeepAlive: info.shouldKeepAlive,
 		});
