--- a/packages/entry/__tests__/early-responses.test.ts
+++ b/packages/entry/__tests__/early-responses.test.ts
@@ -77,19 +77,19 @@
 
 describe('a response without a length, sent before the upload was read', () => {
 	const ends: Readonly<Record<string, (socket: Socket) => void>> = {
-		'a reset at once': (socket) => {
+		'a reset at once'(socket) {
 			socket.write(head, () => {
 				socket.resetAndDestroy();
 			});
 		},
-		'a reset a little later': (socket) => {
+		'a reset a little later'(socket) {
 			socket.pause();
 			socket.write(head);
 			setTimeout(() => {
 				socket.resetAndDestroy();
 			}, 5);
 		},
-		'a close of the connection': (socket) => {
+		'a close of the connection'(socket) {
 			socket.pause();
 			socket.end(head);
 			setTimeout(() => {
