--- a/packages/daemon/__tests__/truncated-heads.test.ts
+++ b/packages/daemon/__tests__/truncated-heads.test.ts
@@ -160,6 +160,18 @@
 	}
 });
 
+describe('a response whose status is no status', {timeout: 10_000}, () => {
+	for (const status of ['000', '099']) {
+		it(`(${status}) fails the request`, async () => {
+			formatLastBytes = (id) =>
+				`HTTP/1.1 ${status} OK\r\nx-request-id: ${id}\r\ncontent-length: 5\r\n\r\nwhole`;
+			const url = await listen(entryServer);
+			await send(url);
+			expect(await send(url)).toEqual([502, '']);
+		});
+	}
+});
+
 describe('a header beyond ASCII', () => {
 	it('reaches the caller unchanged', async () => {
 		const title = Buffer.from('辭典 ü').toString('latin1');
