Pass on a body's chunks together, so that small ones take no more memory

Report: a faulty server sent bytes without end, and the machine that had called it kept them all and ran out of memory.

Here: heads are bounded, and bodies paused while the caller does not read.

Change: the parser hands over the body in all bytes that it gets at once as one part.

--- a/packages/entry/src/response-parser.ts
+++ b/packages/entry/src/response-parser.ts
@@ -1,4 +1,4 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {hasStatusLine} from '@parsleyvale/shared';
 import {HTTPParser} from 'http-parser-js';
 
@@ -45,6 +45,8 @@
 	#isInterim = false;
 	#isInvalid = false;
 	#framingBytes = 0;
+	/** Parts of the body in the bytes that are being parsed. */
+	#bodyParts: Buffer[] = [];
 
 	constructor(listener: ResponseListener) {
 		this.#listener = listener;
@@ -66,6 +68,7 @@
 	parse(bytes: Buffer): boolean {
 		this.#framingBytes += bytes.length;
 		const hasFailed = this.#parser.execute(bytes) instanceof Error;
+		this.#flushBody();
 		return (
 			!hasFailed &&
 			!this.#isInvalid &&
@@ -119,7 +122,18 @@
 			this.#isInvalid = true;
 		} else if (!this.#isInvalid) {
 			this.#framingBytes = 0;
-			this.#listener.onBody(chunk.subarray(offset, offset + length));
+			this.#bodyParts.push(chunk.subarray(offset, offset + length));
+		}
+	}
+
+	/** Hands over the parts as one, as small chunks would take much memory each on their way to the caller. */
+	#flushBody(): void {
+		const [first, ...rest] = this.#bodyParts;
+		this.#bodyParts = [];
+		if (first !== undefined && !this.#isInvalid) {
+			this.#listener.onBody(
+				rest.length === 0 ? first : Buffer.concat([first, ...rest]),
+			);
 		}
 	}
 
@@ -128,6 +142,7 @@
 		const remainingBytes: unknown = Reflect.get(this.#parser, 'body_bytes');
 		this.#isInvalid ||= Number.isNaN(remainingBytes);
 		if (!this.#isInterim && !this.#isInvalid) {
+			this.#flushBody();
 			this.#listener.onEnd(this.#hasUnparsedBytes());
 		}
 
