--- a/packages/daemon/__tests__/truncated-heads.test.ts
+++ b/packages/daemon/__tests__/truncated-heads.test.ts
@@ -160,14 +160,19 @@
 	}
 });
 
+/** Returns the response to a request whose server sends the given status. */
+async function sendWithStatus(status: string): Promise<[number, string]> {
+	formatLastBytes = (id) =>
+		`HTTP/1.1 ${status} OK\r\nx-request-id: ${id}\r\ncontent-length: 5\r\n\r\nwhole`;
+	const url = await listen(entryServer);
+	await send(url);
+	return send(url);
+}
+
 describe('a response whose status is no status', {timeout: 10_000}, () => {
 	for (const status of ['000', '099']) {
 		it(`(${status}) fails the request`, async () => {
-			formatLastBytes = (id) =>
-				`HTTP/1.1 ${status} OK\r\nx-request-id: ${id}\r\ncontent-length: 5\r\n\r\nwhole`;
-			const url = await listen(entryServer);
-			await send(url);
-			expect(await send(url)).toEqual([502, '']);
+			expect(await sendWithStatus(status)).toEqual([502, '']);
 		});
 	}
 });
