Count the time in the queue as age of a digest

Cause: the receiver of a digest takes it for 150 ms old at most. While its process is frozen, the machine queues datagrams, and when it wakes, those count as fresh; the woken host tells others so.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -28,6 +28,7 @@
 import type {HeaderNames} from './header-names.js';
 import {NameHashes} from './name-hashes.js';
 import {PeerTransport} from './peer-transport.js';
+import {QueueTimeBound} from './queue-time-bound.js';
 import {ServerConnections} from './server-connections.js';
 import {StoreView} from './store-view.js';
 import {SuspensionDetector} from './suspension-watch.js';
@@ -74,6 +75,7 @@
 	readonly #callerServer: CallerServer;
 	readonly #peerTransport: PeerTransport;
 	readonly #suspensionDetector: SuspensionDetector;
+	readonly #queueTimeBound: QueueTimeBound;
 	readonly #serverHashes = new NameHashes();
 	readonly #customerHashes = new NameHashes();
 	readonly #pendingLookUps = new Map<
@@ -92,6 +94,7 @@
 		this.#clock = options.clock ?? createSystemClock();
 		this.#storeView = new StoreView(this.#clock);
 		this.#suspensionDetector = new SuspensionDetector(this.#clock);
+		this.#queueTimeBound = new QueueTimeBound(this.#clock);
 		const onError = (error: unknown, type: string) => {
 			this.#logInternalError(error, type);
 		};
@@ -129,8 +132,9 @@
 		this.#peerTransport = new PeerTransport({
 			endpoint: options.peers,
 			codec: new DigestCodec(this.#serverHashes, this.#customerHashes),
-			onDigest: (digest) => {
-				this.handle({type: 'digest-received', digest});
+			queueTimeBound: this.#queueTimeBound,
+			onDigest: (digest, maximumQueueTime) => {
+				this.handle({type: 'digest-received', digest, maximumQueueTime});
 			},
 			getDelta: (version, position) =>
 				this.#storeView.createDelta(version, position),
@@ -260,6 +264,7 @@
 	}
 
 	#tick(): void {
+		this.#queueTimeBound.update();
 		if (this.#suspensionDetector.wasSuspended()) {
 			this.handle({type: 'suspended'});
 			this.#options.onSuspended();
--- a/packages/entry/src/peer-transport.ts
+++ b/packages/entry/src/peer-transport.ts
@@ -11,6 +11,7 @@
 import type {Digest, SteeringHost, StorePosition} from '@parsleyvale/steering';
 import {copyEncoding, encodeCopy, parseCopyText} from './copy-encoding.js';
 import type {DigestCodec} from './digest-codec.js';
+import type {QueueTimeBound} from './queue-time-bound.js';
 import {storeDeltaSchema, type StoreDelta} from './store-view.js';
 
 /** A delta is a few hundred kilobytes at most; after this time it is requested from another host. */
@@ -24,7 +25,9 @@
 export type PeerTransportOptions = {
 	readonly endpoint: Endpoint;
 	readonly codec: DigestCodec;
-	readonly onDigest: (digest: Digest) => void;
+	/** Called with the time for which the digest may have been queued here. */
+	readonly onDigest: (digest: Digest, maximumQueueTime: Milliseconds) => void;
+	readonly queueTimeBound: QueueTimeBound;
 	/** Returns the changes after a version and position; undefined: the store has not been read yet. */
 	readonly getDelta: (
 		version: number,
@@ -189,10 +192,11 @@
 	}
 
 	#onDatagram(bytes: Buffer): void {
-		const {codec, onDigest, onError} = this.#options;
+		const {codec, onDigest, onError, queueTimeBound} = this.#options;
+		const maximumQueueTime = queueTimeBound.update();
 		const decoded = codec.decode(bytes);
 		if (decoded.isOk) {
-			onDigest(decoded.value);
+			onDigest(decoded.value, maximumQueueTime);
 		} else {
 			onError('invalid digest from peer', decoded.error);
 		}
--- a/packages/steering/__tests__/host-state.test.ts
+++ b/packages/steering/__tests__/host-state.test.ts
@@ -58,6 +58,22 @@
 		]);
 	});
 
+	it('do not become fresh by a digest that waited while the process was frozen', () => {
+		const session = new KernelSession();
+		session.start(servers);
+		session.clock.advance(4800);
+		const digest = createDigest({configurationAgeMs: 500});
+		session.handle({
+			type: 'digest-received',
+			digest,
+			maximumQueueTime: 4000,
+		});
+		session.clock.advance(300);
+		expect(listDecisions(session.send().effects)).toEqual([
+			'refuse keys-not-fresh',
+		]);
+	});
+
 	it('that are unknown are rejected as such only with a fresh configuration', () => {
 		const session = new KernelSession();
 		session.start(servers);
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -126,7 +126,12 @@
 	| {readonly type: 'hosts-listed'; readonly hosts: readonly SteeringHost[]}
 	/** This host's entry was written to the store. */
 	| {readonly type: 'host-entry-written'; readonly era: number}
-	| {readonly type: 'digest-received'; readonly digest: Digest}
+	| {
+			readonly type: 'digest-received';
+			readonly digest: Digest;
+			/** Time for which it may have waited at this host before it was read; undefined: none. */
+			readonly maximumQueueTime?: Milliseconds;
+	  }
 	| {
 			readonly type: 'look-up-arrived';
 			readonly lookUpId: RequestId;
--- a/packages/steering/src/host-state-plugin.ts
+++ b/packages/steering/src/host-state-plugin.ts
@@ -60,8 +60,8 @@
 		kernel.on('hosts-listed', ({hosts}, {now}) => {
 			this.#hostState.members.onListed(hosts, now);
 		});
-		kernel.on('digest-received', ({digest}, context) => {
-			this.#onDigest(digest, context);
+		kernel.on('digest-received', (event, context) => {
+			this.#onDigest(event, context);
 		});
 		kernel.on('suspended', (_event, context) => {
 			this.#onSuspended(context);
@@ -177,7 +177,10 @@
 		}
 	}
 
-	#onDigest(digest: Digest, context: SteeringContext): void {
+	#onDigest(
+		{digest, maximumQueueTime = 0}: SteeringEventOf<'digest-received'>,
+		context: SteeringContext,
+	): void {
 		const {members, configuration, serverTable} = this.#hostState;
 		const wasLive = members.isLiveIncarnation(digest, context.now);
 		if (!members.onDigest(digest, context.now)) {
@@ -200,7 +203,8 @@
 		}
 
 		if (digest.configurationAgeMs !== null) {
-			const age = digest.configurationAgeMs + maximumDigestDelay;
+			const age =
+				digest.configurationAgeMs + maximumDigestDelay + maximumQueueTime;
 			configuration.confirm(digest.configurationVersion, context.now - age);
 		}
 
