Send names of customers to servers in UTF-8

Each character of the name was cut to its low byte, so that another name, or a control character, stood in the header.

Change: the name is written in UTF-8, in which no two names are equal.

--- a/packages/entry/src/request-head.ts
+++ b/packages/entry/src/request-head.ts
@@ -37,7 +37,7 @@
 		`${headerNames.expectedServer}: ${server.id}`,
 	);
 	if (customer !== undefined) {
-		lines.push(`${headerNames.customer}: ${customer}`);
+		lines.push(`${headerNames.customer}: ${toHeaderValue(customer)}`);
 	}
 
 	if (bodyBytes === undefined) {
@@ -48,3 +48,8 @@
 
 	return Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
 }
+
+/** Returns a string whose characters stand for the bytes of the text in UTF-8, as the head is written in Latin-1. */
+function toHeaderValue(text: string): string {
+	return Buffer.from(text, 'utf8').toString('latin1');
+}
