Move no request whose body was streamed to its server

Cause: a body over 1 MiB is streamed to the first server and gone then. Repeats after a failed attempt know this, moving an overdue request did not.

Change: an arrived request says whether its whole body is buffered; only then is it moved.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -258,6 +258,7 @@
 			keyHash: callerRequest.keyHash,
 			affinity: callerRequest.affinity,
 			bodyBytes: body.length,
+			isBodyBuffered: bodyResult === 'whole',
 			fingerprint: computeFingerprint(
 				callerRequest,
 				bodyResult === 'whole' ? body.length : callerRequest.bodyBytes,
--- a/packages/steering/__tests__/load-shedding.test.ts
+++ b/packages/steering/__tests__/load-shedding.test.ts
@@ -28,6 +28,7 @@
 			keyHash: undefined,
 			affinity: undefined,
 			bodyBytes: 0,
+			isBodyBuffered: true,
 			fingerprint: '1',
 			arrivedAt: 0,
 			timeLeft: undefined,
--- a/packages/steering/__tests__/requests.test.ts
+++ b/packages/steering/__tests__/requests.test.ts
@@ -101,6 +101,19 @@
 		expect(listDecisions(effects)).toEqual([]);
 	});
 
+	it('is not sent to another server without its body, which was streamed to the first', () => {
+		const longTimeout = createConfiguration({
+			routes: [createRoute({timeoutMs: 10_000})],
+		});
+		const decisionCounts = [true, false].map((isBodyBuffered) => {
+			const session = new KernelSession();
+			session.start(twoServers, longTimeout);
+			session.send({timeLeft: 10_000, isBodyBuffered});
+			return listDecisions(session.wait(5000)).length;
+		});
+		expect(decisionCounts).toEqual([2, 0]);
+	});
+
 	// Callers that did not read their downloads had those of others refused as too late.
 	it('does not make its server look slow while its caller reads the answer', () => {
 		const session = new KernelSession();
--- a/packages/steering/__tests__/support/fleet-simulation.ts
+++ b/packages/steering/__tests__/support/fleet-simulation.ts
@@ -327,6 +327,7 @@
 			keyHash: request.key,
 			affinity: request.affinity,
 			bodyBytes: request.bodyBytes ?? 0,
+			isBodyBuffered: true,
 			fingerprint: `${request.path}/${request.affinity}`,
 			arrivedAt: this.clock.now(),
 			timeLeft: request.timeLeft ?? 4000,
--- a/packages/steering/__tests__/support/kernel-session.ts
+++ b/packages/steering/__tests__/support/kernel-session.ts
@@ -161,6 +161,7 @@
 			keyHash: 'key',
 			affinity: undefined,
 			bodyBytes: 0,
+			isBodyBuffered: true,
 			fingerprint: '0000000000000001',
 			arrivedAt: this.clock.now(),
 			timeLeft: 4000,
--- a/packages/steering/__tests__/support/store-simulation.ts
+++ b/packages/steering/__tests__/support/store-simulation.ts
@@ -195,6 +195,7 @@
 				keyHash: 'key',
 				affinity: undefined,
 				bodyBytes: 0,
+				isBodyBuffered: true,
 				fingerprint: path,
 				arrivedAt: this.clock.now(),
 				timeLeft: 1000,
--- a/packages/steering/src/admission/request-lifecycle.ts
+++ b/packages/steering/src/admission/request-lifecycle.ts
@@ -497,8 +497,8 @@
 
 	/** Sends an overdue request to another server if one has capacity, and cancels the first attempt. */
 	#reroute(request: LiveRequest, context: SteeringContext): void {
-		const {placement, attempt} = request;
-		if (placement === undefined) {
+		const {placement, attempt, arrival} = request;
+		if (placement === undefined || !arrival.isBodyBuffered) {
 			return;
 		}
 
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -50,6 +50,8 @@
 	/** Affinity key: the same for all requests for an object. */
 	readonly affinity: string | undefined;
 	readonly bodyBytes: number;
+	/** Whether the whole body is buffered, so that it can be sent again; otherwise it is streamed to the first server. */
+	readonly isBodyBuffered: boolean;
 	/** The same when the request is sent again: hash of method, host name, target and body, in hexadecimal. */
 	readonly fingerprint: string;
 	/** When the first byte was read, on this host's clock. */
