Let the store return from an older copy in the soak

In every second run the store is down once or twice and returns from a copy that is up to 5 s older, in a new era; operator and servers write again before it serves. Its plan has random numbers of its own, so the faults of earlier seeds stay as they were.

--- a/packages/soak/__tests__/soak.test.ts
+++ b/packages/soak/__tests__/soak.test.ts
@@ -28,7 +28,7 @@
 				createPlan({seed, duration: 60_000, daemons: 4, servers: 6}),
 			).flatMap((plan) => plan.map(({kind}) => kind)),
 		);
-		expect(kinds.size).toEqual(16);
+		expect(kinds.size).toEqual(17);
 	});
 });
 
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -69,6 +69,11 @@
 				break;
 			}
 
+			case 'store-returns': {
+				await this.#returnStore(fault);
+				break;
+			}
+
 			case 'store-link': {
 				const {storeLink} = this.#fleet.daemons[fault.target]!;
 				await this.#applyLinkFault(storeLink, fault);
@@ -149,6 +154,28 @@
 		this.#activeStoreFaults += 1;
 		this.#fleet.store.mode = mode;
 		await wait(duration);
+		this.#endStoreFault();
+	}
+
+	async #returnStore({
+		duration,
+		downtime,
+	}: FaultOf<'store-returns'>): Promise<void> {
+		const {store} = this.#fleet;
+		await this.#runExclusively(store, async () => {
+			store.takeBackup();
+			await wait(duration - downtime);
+			this.#activeStoreFaults += 1;
+			store.mode = 'busy';
+			await wait(downtime);
+			store.restoreBackup();
+			const isEvacuated = this.evacuations.some(({to}) => !Number.isFinite(to));
+			this.#fleet.writeAgain(isEvacuated);
+			this.#endStoreFault();
+		});
+	}
+
+	#endStoreFault(): void {
 		this.#activeStoreFaults -= 1;
 		if (this.#activeStoreFaults === 0) {
 			this.#fleet.store.mode = 'serves';
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -125,6 +125,29 @@
 		this.store.put('config', 'main', configuration);
 	}
 
+	/** Writes what the operator and the servers wrote, after the store has lost it. */
+	writeAgain(isEvacuated: boolean): void {
+		this.writeConfiguration();
+		const ids = new Set(this.backends.map(({server}) => server.id));
+		for (const id of this.store.listNames('servers')) {
+			if (!ids.has(id)) {
+				this.store.remove('servers', id);
+			}
+		}
+
+		for (const backend of this.backends) {
+			const {id} = backend.server;
+			const state = this.drainStartedAt.has(id) ? 'draining' : 'ready';
+			this.store.put('servers', id, this.#createEntry(backend, state));
+		}
+
+		if (isEvacuated) {
+			this.store.put('evacuations', evacuatedFailureDomain, {});
+		} else {
+			this.store.remove('evacuations', evacuatedFailureDomain);
+		}
+	}
+
 	revokeKey(key: string): void {
 		this.revokedAt.set(key, this.#options.clock.now());
 		this.writeConfiguration();
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -11,6 +11,8 @@
 } & (
 	| {readonly kind: 'store'; readonly mode: Exclude<StoreMode, 'serves'>}
 	| {readonly kind: 'store-forgets'}
+	/** The store is down at the end of the duration, and returns from a copy of its beginning. */
+	| {readonly kind: 'store-returns'; readonly downtime: Milliseconds}
 	| {
 			readonly kind: 'store-link';
 			readonly target: number;
@@ -64,6 +66,14 @@
 const limitRange = 4;
 /** Separates the random numbers of the limits from those of the faults. */
 const limitSeedOffset = 1_000_000;
+/** Spreads the seeds of the store's returns, as close ones begin with similar numbers. */
+const returnSeedFactor = 0x9e_37_79_b1;
+/** In every second run, the store returns from a copy once or twice. */
+const returnInterval = 2;
+const maximumReturns = 2;
+const maximumCopyAge: Milliseconds = 5000;
+const minimumDowntime: Milliseconds = 300;
+const maximumDowntime: Milliseconds = 3000;
 
 type FaultFactory = (
 	pick: <Item>(items: readonly Item[]) => Item,
@@ -142,7 +152,11 @@
  * createPlan({seed: 7, duration: 30_000, daemons: 4, servers: 6});
  */
 export function createPlan(options: PlanOptions): Fault[] {
-	return [...createFaults(options), ...createLimits(options)];
+	return [
+		...createFaults(options),
+		...createLimits(options),
+		...createReturns(options),
+	];
 }
 
 function createFaults(options: PlanOptions): Fault[] {
@@ -180,6 +194,36 @@
 		}));
 }
 
+function createReturns({seed, duration}: PlanOptions): Fault[] {
+	const random = createRandom(Math.imul(seed, returnSeedFactor));
+	const faults: Fault[] = [];
+	const end = duration - edgeMargin * 2;
+	let at = edgeMargin;
+	if (seed % returnInterval !== 0) {
+		return faults;
+	}
+
+	while (faults.length < maximumReturns) {
+		at += random() * (end - at);
+		const downtime =
+			minimumDowntime + random() * (maximumDowntime - minimumDowntime);
+		const length = downtime + random() * maximumCopyAge;
+		if (at + length > end) {
+			break;
+		}
+
+		faults.push({
+			kind: 'store-returns',
+			at: Math.round(at),
+			duration: Math.round(length),
+			downtime: Math.round(downtime),
+		});
+		at += length;
+	}
+
+	return faults;
+}
+
 function toIndexes(count: number): number[] {
 	return Array.from({length: count}, (_, index) => index);
 }
