Send requests that crash servers in the soak, and check that they are kept away

In every third run, a request comes to all daemons in turn for 6 s; each server that runs it ends and is replaced when its entry has expired. The oracle allows three executions from 4 s after the third.

--- a/packages/soak/__tests__/oracle.test.ts
+++ b/packages/soak/__tests__/oracle.test.ts
@@ -98,6 +98,22 @@
 		).toEqual(['requests with a revoked key are not executed']);
 	});
 
+	it('detects that a request went on crashing servers, unless a fault was active nearby', () => {
+		const times = [1, 2, 3, 10_000, 11_000, 12_000, 13_000];
+		const history = {
+			executions: times.map((time, index) => ({
+				...execution,
+				requestId: `deadly-${index}`,
+				at: 20_000 + time,
+			})),
+		};
+		const guarantee =
+			'a request that has crashed three servers is kept from others';
+		expect(listBrokenGuarantees(history)).toEqual([guarantee]);
+		const faults = [{kind: 'daemon-pause', from: 25_000, to: 26_000}];
+		expect(listBrokenGuarantees({...history, faults})).toEqual([]);
+	});
+
 	it('detects a request sent to a draining server, unless a fault was active nearby', () => {
 		const history = {
 			executions: [execution],
--- a/packages/soak/__tests__/soak.test.ts
+++ b/packages/soak/__tests__/soak.test.ts
@@ -10,9 +10,15 @@
 
 /**
  * Seeds of past failures. With 109 and 112, an outgoing connection took the port of
- * a daemon between its stop and its restart.
+ * a daemon between its stop and its restart. In 12, the store returns from a copy
+ * and a request crashes servers.
  */
-const seeds = [5, 109, 112];
+const runs = [
+	{seed: 5, minutes: 0.25},
+	{seed: 12, minutes: 0.5},
+	{seed: 109, minutes: 0.25},
+	{seed: 112, minutes: 0.25},
+];
 
 describe('createPlan', () => {
 	it('returns the same plan for the same seed and different plans for different seeds', () => {
@@ -28,12 +34,12 @@
 				createPlan({seed, duration: 60_000, daemons: 4, servers: 6}),
 			).flatMap((plan) => plan.map(({kind}) => kind)),
 		);
-		expect(kinds.size).toEqual(17);
+		expect(kinds.size).toEqual(18);
 	});
 });
 
 describe('daemons under faults', () => {
-	for (const seed of seeds) {
+	for (const {seed, minutes} of runs) {
 		it(`keep their guarantees (seed ${seed})`, async () => {
 			const child = spawn(
 				process.execPath,
@@ -42,7 +48,7 @@
 					'--seed',
 					String(seed),
 					'--minutes',
-					'0.25',
+					String(minutes),
 					'--daemons',
 					'3',
 					'--servers',
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -24,6 +24,8 @@
 	readonly isSafe: boolean;
 	readonly daemon: string;
 	readonly endpoint: Endpoint;
+	/** Undefined: one that servers execute. */
+	readonly path?: string;
 };
 
 /** The caller aborts a request after this time. */
@@ -44,7 +46,14 @@
 
 	/** Sends a request; its record is complete when the promise resolves. */
 	async send(
-		{id, key, isSafe, daemon, endpoint}: CallerRequest,
+		{
+			id,
+			key,
+			isSafe,
+			daemon,
+			endpoint,
+			path = isSafe ? '/read/x' : '/buy/x',
+		}: CallerRequest,
 		onRecord: (record: CallerRecord) => void,
 	): Promise<void> {
 		return new Promise((resolve) => {
@@ -52,7 +61,7 @@
 				host: endpoint.address,
 				port: endpoint.port,
 				method: isSafe ? 'GET' : 'POST',
-				path: isSafe ? '/read/x' : '/buy/x',
+				path,
 				agent: this.#agent,
 				headers: {
 					host: 'a.example',
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -1,15 +1,17 @@
+import {randomUUID} from 'node:crypto';
 import {setTimeout as wait} from 'node:timers/promises';
 import type {Clock, Milliseconds} from '@parsleyvale/shared';
+import {Caller} from './caller.js';
 import {evacuatedFailureDomain, unlimitedKeys} from './deployment.js';
-import type {Fleet} from './fleet.js';
-import type {RunHistory} from './oracle.js';
+import {entryExpiryTime, type Fleet} from './fleet.js';
+import {deadlyIdPrefix, type RunHistory} from './oracle.js';
 import type {Fault} from './plan.js';
+import {deadlyPath} from './server-stand-in.js';
 import type {StatedLimit} from './stated-limits.js';
 
-/** An entry expires after three missed heartbeats of 1.5 s. */
-const entryExpiryTime: Milliseconds = 4500;
 /** How long a draining server keeps serving. */
 const drainDuration: Milliseconds = 4000;
+const deadlyRequestInterval: Milliseconds = 250;
 /** Delay between the end of a daemon and its restart. */
 const restartDelay: Milliseconds = 300;
 
@@ -99,6 +101,11 @@
 				break;
 			}
 
+			case 'deadly-request': {
+				await this.#sendDeadlyRequests(fault);
+				break;
+			}
+
 			case 'server-crash':
 			case 'server-leave': {
 				await this.#replaceServer(fault);
@@ -191,6 +198,30 @@
 		link.mode = 'sound';
 	}
 
+	async #sendDeadlyRequests({
+		duration,
+	}: FaultOf<'deadly-request'>): Promise<void> {
+		const caller = new Caller(this.#clock);
+		const end = this.#clock.now() + duration;
+		for (let count = 0; this.#clock.now() < end; count++) {
+			const {process, callerEndpoint} =
+				this.#fleet.daemons[count % this.#fleet.daemons.length]!;
+			const request = {
+				id: `${deadlyIdPrefix}${randomUUID()}`,
+				key: unlimitedKeys.at(-1)!,
+				isSafe: true,
+				daemon: process.name,
+				endpoint: callerEndpoint,
+				path: deadlyPath,
+			};
+			void caller.send(request, () => undefined);
+			await wait(deadlyRequestInterval);
+		}
+
+		caller.close();
+		await wait(entryExpiryTime);
+	}
+
 	async #stateLimit({
 		target,
 		perSecond,
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -22,6 +22,8 @@
 /** Allows for a store outage: a daemon that cannot reach the store becomes ready only once it is back. */
 const readinessTimeout: Milliseconds = 15_000;
 const readinessPollInterval: Milliseconds = 50;
+/** An entry expires after three missed heartbeats of 1.5 s. */
+export const entryExpiryTime: Milliseconds = 4500;
 /** One-way delay of a slow link, longer than the delay between two regions. */
 const slowLinkDelay: Milliseconds = 150;
 
@@ -58,6 +60,7 @@
 	readonly backends: Backend[] = [];
 	readonly #options: FleetOptions;
 	readonly #replacedBackends: Backend[] = [];
+	#isClosed = false;
 	#version = 1;
 	#serverCount = 0;
 
@@ -99,6 +102,7 @@
 
 	/** Kills all daemons and closes all sockets of the fleet. */
 	async close(): Promise<void> {
+		this.#isClosed = true;
 		await Promise.all(
 			this.daemons.map(async ({process}) => process.terminate('SIGKILL')),
 		);
@@ -188,6 +192,10 @@
 			delay: slowLinkDelay,
 		}).listen();
 		const backend = {server, link};
+		server.onCrash = () => {
+			void this.#replaceCrashed(backend);
+		};
+
 		if (findFailureDomain(this.#serverCount) === evacuatedFailureDomain) {
 			this.evacuatedServers.add(id);
 		}
@@ -196,6 +204,14 @@
 		return backend;
 	}
 
+	/** Replaces a server that has crashed by itself when its entry has expired. */
+	async #replaceCrashed(backend: Backend): Promise<void> {
+		await wait(entryExpiryTime);
+		if (this.backends.includes(backend) && !this.#isClosed) {
+			await this.replaceServer(backend);
+		}
+	}
+
 	async #createDaemon(index: number, daemonHost: string): Promise<Daemon> {
 		const ports = await reservePorts(daemonHost, portsPerDaemon);
 		const [address, port] = this.store.address.split(':') as [string, string];
--- a/packages/soak/src/oracle.ts
+++ b/packages/soak/src/oracle.ts
@@ -55,10 +55,15 @@
 	rateSlack: 20,
 	/** Number of servers to which a request with a safe method may be sent. */
 	maxAttempts: 2,
+	/** Executions of a request that has crashed three servers. */
+	retriesOfDeadly: 3,
 	/** Events within this time after a fault are not checked because the fault may have delayed them. */
 	stabilizationMs: 4000,
 };
 
+/** Begins the ids of requests that crash servers. */
+export const deadlyIdPrefix = 'deadly-';
+
 const notExecutedStatuses: ReadonlySet<number | undefined> = new Set([
 	408, 421, 429, 503,
 ]);
@@ -130,6 +135,27 @@
 			})
 			.map(({id, key}) => createViolation(id, `executed with ${key}`));
 	},
+	'a request that has crashed three servers is kept from others'({
+		executions,
+		faults,
+	}) {
+		const crashes = executions.filter(({requestId}) =>
+			requestId.startsWith(deadlyIdPrefix),
+		);
+		const thirdAt = crashes[2]?.at ?? Number.POSITIVE_INFINITY;
+		const late = crashes.filter(
+			({at}) => at > thirdAt + bounds.stabilizationMs,
+		);
+		const isDisturbed = overlapsFault(
+			faults,
+			thirdAt - bounds.stabilizationMs,
+			late.at(-1)?.at ?? thirdAt,
+			new Set([...plannedChangeKinds, 'deadly-request']),
+		);
+		return late.length > bounds.retriesOfDeadly && !isDisturbed
+			? [createViolation(undefined, `${late.length} executions`)]
+			: [];
+	},
 	'draining servers receive no new requests': ({
 		executions,
 		drainStartedAt,
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -33,6 +33,8 @@
 			readonly target: number;
 			readonly perSecond: number;
 	  }
+	/** A request that crashes each server which runs it comes again and again. */
+	| {readonly kind: 'deadly-request'}
 	| {readonly kind: 'server-crash'; readonly target: number}
 	| {readonly kind: 'server-leave'; readonly target: number}
 	| {readonly kind: 'daemon-kill'; readonly target: number}
@@ -66,8 +68,12 @@
 const limitRange = 4;
 /** Separates the random numbers of the limits from those of the faults. */
 const limitSeedOffset = 1_000_000;
-/** Spreads the seeds of the store's returns, as close ones begin with similar numbers. */
+/** In every third run, a request crashes servers. */
+const deadlyInterval = 3;
+const deadlyDuration: Milliseconds = 6000;
+/** Spreads the seeds, as close ones begin with similar numbers. */
 const returnSeedFactor = 0x9e_37_79_b1;
+const deadlySeedFactor = 0x85_eb_ca_77;
 /** In every second run, the store returns from a copy once or twice. */
 const returnInterval = 2;
 const maximumReturns = 2;
@@ -156,6 +162,7 @@
 		...createFaults(options),
 		...createLimits(options),
 		...createReturns(options),
+		...createDeadlyRequests(options),
 	];
 }
 
@@ -224,6 +231,20 @@
 	return faults;
 }
 
+function createDeadlyRequests({seed, duration}: PlanOptions): Fault[] {
+	const random = createRandom(Math.imul(seed, deadlySeedFactor));
+	const end = duration - edgeMargin * 2 - deadlyDuration;
+	return seed % deadlyInterval === 0 && end > edgeMargin
+		? [
+				{
+					kind: 'deadly-request',
+					at: Math.round(edgeMargin + random() * (end - edgeMargin)),
+					duration: deadlyDuration,
+				},
+			]
+		: [];
+}
+
 function toIndexes(count: number): number[] {
 	return Array.from({length: count}, (_, index) => index);
 }
--- a/packages/soak/src/server-stand-in.ts
+++ b/packages/soak/src/server-stand-in.ts
@@ -31,6 +31,9 @@
 	readonly at: Milliseconds;
 };
 
+/** Path of a request that crashes the server. */
+export const deadlyPath = '/read/deadly';
+
 const slots = 4;
 const executionTime: Milliseconds = 15;
 const slowFactor = 10;
@@ -45,6 +48,8 @@
 	mode: ServerMode = 'sound';
 	/** Requests per second that it states in its responses; it does not enforce them. */
 	statedLimit: number | undefined;
+	/** Called when it has crashed at a request. */
+	onCrash: (() => void) | undefined;
 	/** When the server's entry was set to draining in the store. */
 	drainStartedAt: Milliseconds | undefined;
 	readonly #clock: Clock;
@@ -113,6 +118,12 @@
 			customer: typeof customer === 'string' ? customer : undefined,
 			at: this.#clock.now(),
 		});
+		if (request.url === deadlyPath) {
+			this.close();
+			this.onCrash?.();
+			return;
+		}
+
 		this.#inFlight += 1;
 		await wait(
 			this.mode === 'slow' ? executionTime * slowFactor : executionTime,
