--- a/packages/steering/src/crashes/crash-records.ts
+++ b/packages/steering/src/crashes/crash-records.ts
@@ -7,8 +7,8 @@
 /** Factor by which the next block is longer, if the request crashes a server again after one. */
 const blockGrowth = 4;
 const maximumBlockDuration: Milliseconds = 10 * minute;
-/** Crashes this long after the third one come from another try, rather than from requests that were on their way. */
-const wayTime: Milliseconds = 10 * second;
+/** Requests that were on their way when it was blocked crash servers within this time; a later crash comes from another try. */
+const inFlightDuration: Milliseconds = 10 * second;
 /** How long a request with fewer crashes is remembered after the last one. */
 const suspicionDuration: Milliseconds = minute;
 const maximumSuspects = 512;
@@ -84,7 +84,9 @@
 	get #blockDuration(): Milliseconds {
 		const {crashes} = this;
 		const blockedAt = crashes[blockingCrashes - 1]?.at ?? 0;
-		const repeats = crashes.filter(({at}) => at > blockedAt + wayTime).length;
+		const repeats = crashes.filter(
+			({at}) => at > blockedAt + inFlightDuration,
+		).length;
 		return Math.min(
 			maximumBlockDuration,
 			firstBlockDuration * blockGrowth ** repeats,
