Name the kinds of faults in the soak's test, and end the servers of a deadly request

The check now names all 18: the 16 of before, store-returns and deadly-request. A kind that is lost no longer passes as another one is added.

--- a/packages/soak/__tests__/soak.test.ts
+++ b/packages/soak/__tests__/soak.test.ts
@@ -4,7 +4,29 @@
 import {describe, it} from 'node:test';
 import {fileURLToPath} from 'node:url';
 import {expect} from 'earl';
-import {createPlan} from '../src/plan.js';
+import {createPlan, type Fault} from '../src/plan.js';
+
+/** Each kind of fault, in alphabetical order. */
+const allKinds: Array<Fault['kind']> = [
+	'configuration',
+	'daemon-kill',
+	'daemon-pause',
+	'daemon-reload',
+	'daemon-stop',
+	'deadly-request',
+	'evacuate',
+	'kill-all',
+	'revoke',
+	'server',
+	'server-crash',
+	'server-leave',
+	'server-limit',
+	'server-link',
+	'store',
+	'store-forgets',
+	'store-link',
+	'store-returns',
+];
 
 const program = fileURLToPath(new URL('../src/main.js', import.meta.url));
 
@@ -34,7 +56,7 @@
 				createPlan({seed, duration: 60_000, daemons: 4, servers: 6}),
 			).flatMap((plan) => plan.map(({kind}) => kind)),
 		);
-		expect(kinds.size).toEqual(18);
+		expect([...kinds].sort()).toEqual(allKinds);
 	});
 });
 
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -6,7 +6,7 @@
 import {entryExpiryTime, type Fleet} from './fleet.js';
 import {deadlyIdPrefix, type RunHistory} from './oracle.js';
 import type {Fault} from './plan.js';
-import {deadlyPath} from './server-stand-in.js';
+import {deadlyEnding} from './server-stand-in.js';
 import type {StatedLimit} from './stated-limits.js';
 
 /** How long a draining server keeps serving. */
@@ -212,7 +212,7 @@
 				isSafe: true,
 				daemon: process.name,
 				endpoint: callerEndpoint,
-				path: deadlyPath,
+				path: `/read${deadlyEnding}`,
 			};
 			void caller.send(request, () => undefined);
 			await wait(deadlyRequestInterval);
--- a/packages/soak/src/server-stand-in.ts
+++ b/packages/soak/src/server-stand-in.ts
@@ -31,8 +31,8 @@
 	readonly at: Milliseconds;
 };
 
-/** Path of a request that crashes the server. */
-export const deadlyPath = '/read/deadly';
+/** End of the path of a request that crashes the server. */
+export const deadlyEnding = '/deadly';
 
 const slots = 4;
 const executionTime: Milliseconds = 15;
@@ -118,7 +118,7 @@
 			customer: typeof customer === 'string' ? customer : undefined,
 			at: this.#clock.now(),
 		});
-		if (request.url === deadlyPath) {
+		if (request.url?.endsWith(deadlyEnding)) {
 			this.close();
 			this.onCrash?.();
 			return;
