Report the most suspected requests first, within one packet

Found when reading the change: a digest reported up to 64 crashes and 64 answers, the oldest first, with identities of 24 characters. It no longer fitted into a packet (1,794 bytes with only 24 and 8 of them, 1,472 fit), so that a lost fragment loses the whole digest; and beside many crashes of others, the latest of the request that causes them was left out.

Change: 24 crashes and 8 answers, requests with the most crashes first and among them those with the latest; identities go as 12 bytes.

--- a/packages/entry/__tests__/digest-codec.test.ts
+++ b/packages/entry/__tests__/digest-codec.test.ts
@@ -62,6 +62,22 @@
 	rateLimits: {'i-5f3a91c2': [2.625, 80], 'i-6f3a91c2': [null, 0]},
 };
 
+/** The digest of a busy host that reports as many crashes and answers as one may have. */
+const crashDigest: Digest = {
+	...fullDigest,
+	crashes: Array.from({length: 24}, (_, index) => [
+		`5a98ae569cdb281853e8d9${index + 10}`,
+		2 ** 32 - 1 - index,
+		index * 1000,
+	]),
+	answeredSuspects: Array.from({length: 8}, (_, index) => [
+		`1dcbf74e6d81af556a17ae${index + 10}`,
+		index,
+	]),
+};
+/** Bytes that a datagram may have on an Ethernet without being split. */
+const maximumDatagramBytes = 1472;
+
 describe('a digest', () => {
 	for (const port of [0, 65_536, 4_000_000_000]) {
 		it(`with the port ${port} is invalid`, () => {
@@ -75,6 +91,7 @@
 		shortDigest,
 		countsDigest,
 		fullDigest,
+		crashDigest,
 	})) {
 		it(`is decoded as it was encoded (${name})`, () => {
 			const codec = createCodec();
@@ -88,6 +105,11 @@
 		});
 	}
 
+	it('fits into one packet, whatever it reports', () => {
+		const {length} = createCodec().encode(crashDigest);
+		expect(length).toBeLessThanOrEqual(maximumDatagramBytes);
+	});
+
 	it('with null, false and empty values is decoded as it was encoded', () => {
 		const digest: Digest = {
 			...shortDigest,
--- a/packages/entry/src/digest-codec.ts
+++ b/packages/entry/src/digest-codec.ts
@@ -1,4 +1,4 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {digestSchema, type Digest} from '@parsleyvale/steering';
 import {Result} from 'true-myth';
 import type {NameHashes} from './name-hashes.js';
@@ -46,12 +46,14 @@
 			servers: servers && createCounts(servers, this.#servers),
 			rateLimits: rateLimits && this.#createRateLimits(rateLimits),
 			crashes: crashes && {
-				requests: crashes.map(([request]) => request),
+				requests: crashes.map(([identity]) => Buffer.from(identity, 'hex')),
 				servers: crashes.map(([, server]) => server),
 				agesMs: crashes.map((crash) => crash[2]),
 			},
 			answeredSuspects: answeredSuspects && {
-				requests: answeredSuspects.map(([request]) => request),
+				requests: answeredSuspects.map(([identity]) =>
+					Buffer.from(identity, 'hex'),
+				),
 				agesMs: answeredSuspects.map(([, age]) => age),
 			},
 		}).finish();
@@ -194,7 +196,7 @@
 	agesMs,
 }: CrashesProperties): NonNullable<Digest['crashes']> {
 	return (requests ?? []).map((request, index) => [
-		request,
+		toIdentity(request),
 		getItem(servers, index),
 		getItem(agesMs, index),
 	]);
@@ -205,11 +207,15 @@
 	agesMs,
 }: AnsweredProperties): NonNullable<Digest['answeredSuspects']> {
 	return (requests ?? []).map((request, index) => [
-		request,
+		toIdentity(request),
 		getItem(agesMs, index),
 	]);
 }
 
+function toIdentity(bytes: Uint8Array): string {
+	return Buffer.from(bytes).toString('hex');
+}
+
 function createCounts(counts: Counts, hashes: NameHashes): CountsProperties {
 	const values = Object.values(counts);
 	return {
--- a/packages/steering/src/crashes/crash-guard.ts
+++ b/packages/steering/src/crashes/crash-guard.ts
@@ -18,7 +18,9 @@
 const trialTimeout: Milliseconds = 5 * second;
 /** How long crashes of requests that are not blocked, and answers to them, are reported. */
 const reportDuration: Milliseconds = 10 * second;
-const maximumReported = 64;
+/** Reported in one digest, which then still fits into a packet. */
+const maximumReportedCrashes = 24;
+const maximumReportedAnswers = 8;
 /** Crashes of a blocked request that are reported: enough to have it blocked, and the last one. */
 const reportedOfCulprit = 4;
 const maximumAnswered = 256;
@@ -166,32 +168,24 @@
 		return {
 			...(crashes.length > 0 && {crashes}),
 			...(answered.length > 0 && {
-				answeredSuspects: answered.slice(-maximumReported),
+				answeredSuspects: answered.slice(-maximumReportedAnswers),
 			}),
 		};
 	}
 
+	/** Crashes of blocked requests first, then of those with the most and the latest crashes. */
 	#listReported(now: Milliseconds): Array<[string, Crash]> {
 		const reported: Array<[string, Crash]> = [];
-		for (const [identity, {crashes}] of this.culprits) {
-			const last = crashes.slice(-1);
-			const first = crashes.slice(0, -1).slice(0, reportedOfCulprit - 1);
-			for (const crash of [...first, ...last]) {
+		for (const {identity, crashes} of this.#records.listBySuspicion()) {
+			const selected = this.culprits.has(identity)
+				? selectOfCulprit(crashes)
+				: crashes.filter(({isOwn, at}) => isOwn && now - at < reportDuration);
+			for (const crash of selected) {
 				reported.push([identity, crash]);
 			}
 		}
 
-		for (const {identity, crashes} of this.#records.list()) {
-			if (!this.culprits.has(identity)) {
-				for (const crash of crashes) {
-					if (crash.isOwn && now - crash.at < reportDuration) {
-						reported.push([identity, crash]);
-					}
-				}
-			}
-		}
-
-		return reported.slice(0, maximumReported);
+		return reported.slice(0, maximumReportedCrashes);
 	}
 
 	#clear(identity: string, at: Milliseconds): void {
@@ -237,6 +231,13 @@
 	return `${fingerprint}${customerHash.padStart(8, '0')}`;
 }
 
+function selectOfCulprit(crashes: readonly Crash[]): readonly Crash[] {
+	return crashes.filter(
+		(_crash, index) =>
+			index < reportedOfCulprit - 1 || index === crashes.length - 1,
+	);
+}
+
 /** Each incarnation of a server can crash once. */
 function hashServer({id, incarnation}: BackendServer): number {
 	return computeHash(`${id}/${incarnation}`);
--- a/packages/steering/src/crashes/crash-records.ts
+++ b/packages/steering/src/crashes/crash-records.ts
@@ -113,8 +113,11 @@
 		return this.#suspects.get(identity);
 	}
 
-	list(): Iterable<Suspect> {
-		return this.#suspects.values();
+	/** The suspects, those with the most crashes first, and among them those with the latest. */
+	listBySuspicion(): readonly Suspect[] {
+		return [...this.#suspects.values()].sort(
+			(a, b) => b.crashCount - a.crashCount || b.lastCrashAt - a.lastCrashAt,
+		);
 	}
 
 	add(identity: string, crash: Crash, now: Milliseconds): void {
