--- a/packages/entry/__tests__/attempt.test.ts
+++ b/packages/entry/__tests__/attempt.test.ts
@@ -2,6 +2,7 @@
 import type {ReportedLoad} from '@parsleyvale/steering';
 import {expect} from 'earl';
 import {Attempt, AttemptListener, type AttemptResult} from '../src/attempt.js';
+import type {ExchangeFailure} from '../src/server-connection.js';
 import {createServer, headerNames} from './support/attempt-options.js';
 
 function unexpected(): never {
@@ -21,10 +22,8 @@
 	}
 }
 
-/** Returns the result of an attempt that gets the given response. */
-function receive(status: number, rawHeaders: readonly string[]) {
-	const listener = new RecordingListener();
-	const attempt = new Attempt({
+function createAttempt(listener: AttemptListener): Attempt {
+	return new Attempt({
 		number: 1,
 		server: createServer(),
 		requestId: '1',
@@ -32,6 +31,12 @@
 		headerNames,
 		listener,
 	});
+}
+
+/** Returns the result of an attempt that gets the given response. */
+function receive(status: number, rawHeaders: readonly string[]) {
+	const listener = new RecordingListener();
+	const attempt = createAttempt(listener);
 	attempt.onConnected(undefined);
 	attempt.onResponseHead({
 		status,
@@ -113,6 +118,40 @@
 	}
 });
 
+/** Returns whether an attempt that fails counts as one whose server may have crashed. */
+function wasConnectionLost(
+	failure: Partial<ExchangeFailure>,
+	hasHead = false,
+): boolean {
+	const listener = new RecordingListener();
+	const attempt = createAttempt(listener);
+	attempt.onConnected(undefined);
+	if (hasHead) {
+		attempt.onResponseHead({
+			status: 200,
+			rawHeaders: ['x-id', '1'],
+			shouldKeepAlive: true,
+		});
+	}
+
+	attempt.onFailed({
+		reason: 'ECONNRESET',
+		wasSent: true,
+		wasClosedByServer: true,
+		...failure,
+	});
+	return listener.result!.wasConnectionLost;
+}
+
+describe('an attempt without a complete response', () => {
+	it('may have crashed its server only if that closed the connection without a response', () => {
+		expect(wasConnectionLost({})).toEqual(true);
+		expect(wasConnectionLost({wasSent: false})).toEqual(false);
+		expect(wasConnectionLost({wasClosedByServer: false})).toEqual(false);
+		expect(wasConnectionLost({}, true)).toEqual(false);
+	});
+});
+
 function createLoad(
 	running: number,
 	waiting: number,
