--- a/packages/entry/__tests__/store-view.test.ts
+++ b/packages/entry/__tests__/store-view.test.ts
@@ -168,6 +168,30 @@
 		);
 	});
 
+	it('are the whole list for a host that knows another era, and only changes within an era', () => {
+		const view = createView();
+		const servers = ['i-1', 'i-2'].map((id) => createServer(id));
+		applyServers(view, {era: 1, revision: 90}, servers);
+		applyServers(view, {era: 2, revision: 10}, servers);
+		applyServers(view, {era: 2, revision: 20}, [
+			createServer('i-1', 4),
+			createServer('i-2'),
+		]);
+		const listChanged = (position: StorePosition) => {
+			const {isWhole, changed} = view.createDelta(1, position)!;
+			return {isWhole, changed: changed.map(({id}) => id)};
+		};
+
+		expect(listChanged({era: 1, revision: 90})).toEqual({
+			isWhole: true,
+			changed: ['i-1', 'i-2'],
+		});
+		expect(listChanged({era: 2, revision: 10})).toEqual({
+			isWhole: false,
+			changed: ['i-1'],
+		});
+	});
+
 	it('contain the whole list if too many servers were removed since', () => {
 		const view = createView();
 		const target = createView();
--- a/packages/soak/src/store-stand-in.ts
+++ b/packages/soak/src/store-stand-in.ts
@@ -140,7 +140,7 @@
 	/**
 	 * Returns from the backup in a new era: what was written since is lost, and its
 	 * revisions are given out again. Watches from one of these receive 410; those that
-	 * wait are cut off.
+	 * wait are cut off. A copy for serializable lists may still be of the last era.
 	 */
 	restoreBackup(): void {
 		const {revision, objects} = this.#backup ?? this.#copyState();
@@ -154,7 +154,6 @@
 		this.#changes = this.#changes.filter(
 			(change) => change.revision <= revision,
 		);
-		this.#copy = undefined;
 		this.#watchers.clear();
 		this.#server.closeAllConnections();
 	}
